--- /dev/null
+++ b/cmd/history.go
@@ -0,0 +1,79 @@
+package cmd
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/reporter"
+)
+
+// historyCmd lists or shows accepted changes.
+type historyCmd struct {
+	List historyListCmd `cmd:"" default:"1" help:"List the accepted changes."`
+	Show historyShowCmd `cmd:"" help:"Show an accepted change with its report."`
+}
+
+// historyListCmd lists the accepted changes.
+type historyListCmd struct{}
+
+// Run lists the changes.
+func (c *historyListCmd) Run(s *session) error {
+	changes, err := s.board.History(s.context)
+	if err != nil {
+		return err
+	}
+	return s.print(changes, func() {
+		rows := [][]string{{"GENERATION", "PROPOSAL", "PROPOSER", "ACCEPTER", "ACCEPTED", "EDITS", "REASON"}}
+		for _, c := range changes {
+			rows = append(rows, []string{
+				strconv.FormatUint(c.Generation, 10), c.ID, c.Proposer, c.Accepter,
+				c.Accepted.UTC().Format(time.RFC3339), strconv.Itoa(len(c.Edits)), c.Reason,
+			})
+		}
+		s.table(rows)
+	})
+}
+
+// historyShowCmd shows an accepted change.
+type historyShowCmd struct {
+	Generation uint64 `arg:"" help:"Generation that the change created."`
+	Report     string `help:"File to which the report is written: .html or .md." type:"path"`
+}
+
+// Run shows the change as it was when it was accepted.
+func (c *historyShowCmd) Run(s *session) error {
+	changes, err := s.board.History(s.context)
+	if err != nil {
+		return err
+	}
+	var before governor.State
+	for _, change := range changes {
+		if change.Generation == c.Generation {
+			plan, err := governor.Preview(before, change, governor.Facts{})
+			if err != nil {
+				return err
+			}
+			return s.report(reporter.Report{Plan: plan, InForce: s.inForce(c.Generation)}, c.Report)
+		}
+		if before, err = before.Apply(change); err != nil {
+			return err
+		}
+	}
+	return coder.New(coder.ProposalUnknown, "no generation "+strconv.FormatUint(c.Generation, 10))
+}
+
+// inForce reads when a generation was in force everywhere, or returns nil.
+func (s *session) inForce(generation uint64) *governor.InForce {
+	o, err := s.store.Get(s.context, governor.InForceKey(generation))
+	if err != nil {
+		return nil
+	}
+	var f governor.InForce
+	if err := json.Unmarshal(o.Value, &f); err != nil {
+		return nil
+	}
+	return &f
+}
--- /dev/null
+++ b/cmd/key.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"github.com/marigoldgauge/marigoldgauge/authenticator"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+)
+
+// keyCmd issues or withdraws keys.
+type keyCmd struct {
+	Issue    keyIssueCmd    `cmd:"" help:"Issue a key to an organisation."`
+	Withdraw keyWithdrawCmd `cmd:"" help:"Withdraw a key."`
+}
+
+// keyIssueCmd issues a key.
+type keyIssueCmd struct {
+	Organisation string `arg:"" help:"Organisation that gets the key."`
+	ID           string `arg:"" help:"Identifier of the key; callers give it as their user name."`
+}
+
+// issued is what the operator passes on to the organisation; it is shown once.
+type issued struct {
+	Organisation string `json:"organisation"`
+	KeyID        string `json:"key-id"`
+	Key          string `json:"key"`
+	Generation   uint64 `json:"generation"`
+}
+
+// Run issues the key.
+func (c *keyIssueCmd) Run(s *session) error {
+	secret := authenticator.NewSecret()
+	key, err := authenticator.Verifier(c.ID, secret)
+	if err != nil {
+		return err
+	}
+	change, err := s.change(newID(), "issue key "+c.ID, []governor.Edit{{Kind: governor.AddKey, Object: c.Organisation, Key: &key}})
+	if err != nil {
+		return err
+	}
+	out := issued{Organisation: c.Organisation, KeyID: c.ID, Key: secret, Generation: change.Generation}
+	return s.print(out, func() {
+		s.line("key-id=%s key=%s organisation=%s generation=%d", out.KeyID, out.Key, out.Organisation, out.Generation)
+	})
+}
+
+// keyWithdrawCmd withdraws a key.
+type keyWithdrawCmd struct {
+	Organisation string `arg:"" help:"Organisation that holds the key."`
+	ID           string `arg:"" help:"Identifier of the key."`
+}
+
+// Run withdraws the key.
+func (c *keyWithdrawCmd) Run(s *session) error {
+	change, err := s.change(newID(), "withdraw key "+c.ID, []governor.Edit{{Kind: governor.WithdrawKey, Object: c.Organisation, Key: &governor.Key{ID: c.ID}}})
+	if err != nil {
+		return err
+	}
+	return s.print(change, func() { s.line("key-id=%s state=withdrawn generation=%d", c.ID, change.Generation) })
+}
--- /dev/null
+++ b/cmd/organisation.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+)
+
+// organisationCmd lists or shows organisations.
+type organisationCmd struct {
+	List organisationListCmd `cmd:"" help:"List the organisations."`
+	Show organisationShowCmd `cmd:"" help:"Show an organisation."`
+}
+
+// organisationListCmd lists the organisations.
+type organisationListCmd struct{}
+
+// Run lists the organisations.
+func (c *organisationListCmd) Run(s *session) error {
+	state, _, err := s.board.Load(s.context)
+	if err != nil {
+		return err
+	}
+	return s.print(state.Organisations, func() { s.organisations(state, state.Organisations) })
+}
+
+// organisationShowCmd shows an organisation.
+type organisationShowCmd struct {
+	Name string `arg:"" help:"Name of the organisation."`
+}
+
+// Run shows the organisation.
+func (c *organisationShowCmd) Run(s *session) error {
+	state, _, err := s.board.Load(s.context)
+	if err != nil {
+		return err
+	}
+	o, ok := state.Organisation(c.Name)
+	if !ok {
+		return coder.New(coder.ObjectUnknown, "no organisation "+c.Name)
+	}
+	return s.print(o, func() {
+		s.organisations(state, []governor.Organisation{o})
+		rows := [][]string{{"KEY", "STATE"}}
+		for _, k := range o.Keys {
+			rows = append(rows, []string{k.ID, keyState(k)})
+		}
+		s.table(rows)
+	})
+}
+
+// keyState tells whether a key works.
+func keyState(k governor.Key) string {
+	if k.Withdrawn {
+		return "withdrawn"
+	}
+	return "live"
+}
+
+// organisations writes organisations with their values in force.
+func (s *session) organisations(state governor.State, list []governor.Organisation) {
+	rows := [][]string{{"ORGANISATION", "TEMPLATE", "RATE", "BURST", "STALENESS", "DATABASES", "KEYS"}}
+	for _, o := range list {
+		e := state.Effective(o)
+		live := 0
+		for _, k := range o.Keys {
+			if !k.Withdrawn {
+				live++
+			}
+		}
+		rows = append(rows, []string{
+			o.Name,
+			o.Template,
+			fmt.Sprintf("%g from %s", e.Limit.Rate, e.RateOrigin),
+			fmt.Sprintf("%g from %s", e.Limit.Burst, e.BurstOrigin),
+			fmt.Sprintf("%s from %s", e.Staleness, e.StalenessOrigin),
+			strings.Join(o.Databases, ","),
+			fmt.Sprintf("%d live", live),
+		})
+	}
+	s.table(rows)
+}
--- /dev/null
+++ b/cmd/propose.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+)
+
+// proposeCmd proposes a change.
+type proposeCmd struct {
+	Template     string   `help:"Template to change." xor:"object"`
+	Organisation string   `help:"Organisation to change." xor:"object"`
+	File         string   `help:"YAML file with a list of edits." type:"existingfile" xor:"object"`
+	Set          []string `help:"Parameter to set, such as rate=80; rate, burst or staleness."`
+	Unset        []string `help:"Parameter of an organisation for which the template's default is to apply again."`
+	Reason       string   `help:"Why the change is made."`
+	ID           string   `help:"Identifier of the proposal; repeating a command with the same one is safe."`
+}
+
+// newID returns a new identifier of a proposal.
+func newID() string {
+	return strings.ToLower(rand.Text()[:12])
+}
+
+// Run stores the proposal.
+func (c *proposeCmd) Run(s *session) error {
+	edits, err := c.edits()
+	if err != nil {
+		return err
+	}
+	if c.ID == "" {
+		c.ID = newID()
+	}
+	change, err := s.board.Propose(s.context, governor.Change{ID: c.ID, Proposer: s.operator, Reason: c.Reason, Proposed: time.Now().UTC(), Edits: edits})
+	if err != nil {
+		return err
+	}
+	return s.print(change, func() { s.line("proposal=%s base=%d edits=%d", change.ID, change.Base, len(change.Edits)) })
+}
+
+// edits returns what the flags ask for.
+func (c *proposeCmd) edits() ([]governor.Edit, error) {
+	if c.File != "" {
+		return readEdits(c.File)
+	}
+	set, object := governor.SetOrganisation, c.Organisation
+	if c.Template != "" {
+		set, object = governor.SetTemplate, c.Template
+	}
+	var edits []governor.Edit
+	for _, pair := range c.Set {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return nil, coder.New(coder.UsageInvalid, "--set takes parameter=value")
+		}
+		edits = append(edits, governor.Edit{Kind: set, Object: object, Parameter: governor.Parameter(name), Value: value})
+	}
+	for _, name := range c.Unset {
+		edits = append(edits, governor.Edit{Kind: governor.UnsetOrganisation, Object: object, Parameter: governor.Parameter(name)})
+	}
+	if len(edits) == 0 || object == "" {
+		return nil, coder.New(coder.UsageInvalid, "name a template, an organisation or a file, and what to set")
+	}
+	return edits, nil
+}
+
+// readEdits reads a list of edits.
+func readEdits(path string) ([]governor.Edit, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, coder.New(coder.UsageInvalid, err.Error())
+	}
+	text, err := yaml.YAMLToJSON(raw)
+	if err != nil {
+		return nil, coder.New(coder.UsageInvalid, path+": "+err.Error())
+	}
+	var edits []governor.Edit
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&edits); err != nil {
+		return nil, coder.New(coder.UsageInvalid, path+": "+err.Error())
+	}
+	return edits, nil
+}
+
+// change proposes and accepts in one step.
+func (s *session) change(id, reason string, edits []governor.Edit) (governor.Change, error) {
+	now := time.Now().UTC()
+	if _, err := s.board.Propose(s.context, governor.Change{ID: id, Proposer: s.operator, Reason: reason, Proposed: now, Edits: edits}); err != nil {
+		return governor.Change{}, err
+	}
+	return s.board.Accept(s.context, id, s.operator, now)
+}
--- /dev/null
+++ b/coder/outcome.go
@@ -0,0 +1,25 @@
+package coder
+
+// Outcome tells what is known about the execution of a request.
+type Outcome uint32
+
+const (
+	// Ran means that the request ran and was answered.
+	Ran Outcome = 0
+	// NotRun means that the request certainly did not run.
+	NotRun Outcome = 1
+	// Unknown means that the request may have run.
+	Unknown Outcome = 2
+)
+
+// String returns the outcome in kebab case.
+func (o Outcome) String() string {
+	switch o {
+	case Ran:
+		return "ran"
+	case NotRun:
+		return "not-run"
+	default:
+		return "outcome-unknown"
+	}
+}
--- /dev/null
+++ b/demonstrator/options.go
@@ -0,0 +1,36 @@
+// Package demonstrator runs a small fleet on stand-ins under a bounded load of
+// stock clients that roam, and measures what its users care about.
+package demonstrator
+
+import "time"
+
+// Options change a demonstration.
+type Options struct {
+	// Deployment names the user whose profiles and latencies are used.
+	Deployment string
+	// For is how long the load runs.
+	For time.Duration
+	// Failover cuts a primary off midway, together with one proxy.
+	Failover bool
+	// Surge lets one organisation send five times its rate.
+	Surge bool
+	// Stay keeps the fleet up afterwards and prints how to connect.
+	Stay bool
+}
+
+const (
+	// callersPerOrganisation is the number of callers of one organisation.
+	callersPerOrganisation = 4
+	// offered is the part of its rate that an organisation sends.
+	offered = 0.5
+	// surgeFactor is the multiple of its rate that a surging organisation sends.
+	surgeFactor = 5
+	// writeShare is the part of the requests that write.
+	writeShare = 0.1
+	// statementsPerVisit is the number of requests before a caller roams to another proxy.
+	statementsPerVisit = 25
+	// requestTimeout bounds one request of a caller.
+	requestTimeout = 15 * time.Second
+	// seed makes the choices of the callers the same in each run.
+	seed = 20
+)
--- /dev/null
+++ b/demonstrator/run.go
@@ -0,0 +1,182 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/stager"
+)
+
+// readyTimeout bounds the start of the fleet.
+const readyTimeout = 30 * time.Second
+
+// demonstration is one run.
+type demonstration struct {
+	options    Options
+	deployment stager.Deployment
+	fleet      *stager.Fleet
+	tally      *tally
+	out        io.Writer
+	surging    string
+	outside    []string
+	cutAt      time.Time
+	cutGroup   string
+}
+
+// Run runs a demonstration, writes its figures to out, and reports whether an
+// invariant broke.
+func Run(ctx context.Context, out io.Writer, o Options) (broken bool, err error) {
+	deployment, ok := stager.ByName(o.Deployment)
+	if !ok {
+		return false, eris.Errorf("no deployment %s", o.Deployment)
+	}
+	d := &demonstration{options: o, deployment: deployment, tally: newTally(), out: out}
+	if err := d.start(ctx); err != nil {
+		return false, err
+	}
+	defer d.fleet.Stop()
+	if err := d.load(ctx); err != nil {
+		return false, err
+	}
+	broken = d.summarise()
+	if o.Stay {
+		d.invite()
+		<-ctx.Done()
+	}
+	return broken, nil
+}
+
+// start starts the fleet and its tables.
+func (d *demonstration) start(ctx context.Context) error {
+	o := stager.Options{OnExecute: d.tally.execute}
+	if d.options.Stay {
+		o.ListenCallers = func(string) (net.Listener, error) { return d.listen("proxy") }
+		o.ListenPlatform = func() (net.Listener, error) { return d.listen("platform") }
+	}
+	d.fleet = stager.New(d.deployment, o)
+	for _, g := range d.fleet.Groups {
+		if err := g.Exec("create table seats (who text, n int, body text)"); err != nil {
+			return err
+		}
+	}
+	if err := d.fleet.Start(ctx); err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return d.fleet.Ready(bounded, 1)
+}
+
+// listen opens a listener on loopback and remembers it for the invitation.
+func (d *demonstration) listen(name string) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d.outside = append(d.outside, name+"="+l.Addr().String())
+	return l, nil
+}
+
+// load runs the callers, and the failure that was asked for.
+func (d *demonstration) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.options.For)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, p := range d.deployment.Organisations {
+		rate := p.Rate * offered
+		if d.options.Surge && d.surging == "" {
+			d.surging = p.Name
+			rate = p.Rate * surgeFactor
+		}
+		d.launch(ctx, group, p, rate)
+	}
+	if d.options.Failover {
+		group.Go(func() error { return d.failover(ctx) })
+	}
+	return group.Wait()
+}
+
+// launch starts the callers of one organisation.
+func (d *demonstration) launch(ctx context.Context, group *errgroup.Group, p stager.Profile, rate float64) {
+	callers := callersPerOrganisation
+	if rate > p.Rate {
+		callers *= surgeFactor
+	}
+	for n := range callers {
+		name := fmt.Sprintf("%s/%d", p.Name, n)
+		c := &caller{
+			fleet:        d.fleet,
+			tally:        d.tally,
+			organisation: p.Name,
+			database:     p.Databases[n%len(p.Databases)],
+			name:         name,
+			interval:     time.Duration(float64(callers) / rate * float64(time.Second)),
+			random:       rand.New(rand.NewPCG(seed, uint64(n)<<32|uint64(len(p.Name)))),
+		}
+		group.Go(func() error { return c.run(ctx) })
+	}
+}
+
+// failover cuts the primary of the first group off midway, together with the
+// proxy that owns its pool, and heals the cut later.
+func (d *demonstration) failover(ctx context.Context) error {
+	if !sleep(ctx, d.options.For*2/5) {
+		return nil
+	}
+	group := d.fleet.Groups[0]
+	primary := group.Leader().ID()
+	d.cutGroup = d.deployment.Groups[0]
+	proxy := d.fleet.Owner(d.cutGroup)
+	d.cutAt = time.Now()
+	d.isolate(primary, proxy, true)
+	sleep(ctx, d.options.For*2/5)
+	d.isolate(primary, proxy, false)
+	return nil
+}
+
+// isolate cuts, or heals, a primary and a proxy off from everything but each
+// other and the callers.
+func (d *demonstration) isolate(primary, proxy string, cut bool) {
+	var others []string
+	for _, g := range d.fleet.Groups {
+		for _, i := range g.Instances() {
+			others = append(others, i.ID())
+		}
+	}
+	for _, vm := range d.fleet.VMs() {
+		others = append(others, vm.ID)
+	}
+	others = append(others, "platform")
+	for _, o := range others {
+		if o == primary || o == proxy {
+			continue
+		}
+		d.fleet.Network.CutBoth(primary, o, cut)
+		d.fleet.Network.CutBoth(proxy, o, cut)
+	}
+}
+
+// invite prints how to connect.
+func (d *demonstration) invite() {
+	for _, address := range d.outside {
+		d.line("%s", address)
+	}
+	for _, g := range d.deployment.Groups {
+		d.line("database=%s", g)
+	}
+	for _, p := range d.deployment.Organisations {
+		d.line("key-id=%s key=%s organisation=%s", stager.KeyID(p.Name), d.fleet.Keys[p.Name], p.Name)
+	}
+}
+
+// line writes a line.
+func (d *demonstration) line(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format+"\n", args...)
+}
--- /dev/null
+++ b/demonstrator/tally.go
@@ -0,0 +1,168 @@
+package demonstrator
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/endpointfaker"
+)
+
+// tally counts what callers saw and what the endpoints ran.
+type tally struct {
+	mu            sync.Mutex
+	organisations map[string]*served
+	executed      map[string]int
+	replaced      map[string]bool
+	acknowledged  map[string]bool
+	notRun        map[string]bool
+	cross         int
+	stale         int
+	replicaReads  int
+	primaryReads  int
+	primaries     map[string]bool
+	acks          map[string][]time.Time
+}
+
+// served counts the requests of one organisation.
+type served struct {
+	asked    int
+	answered int
+	refused  int
+	unknown  int
+}
+
+// newTally returns an empty tally.
+func newTally() *tally {
+	return &tally{
+		organisations: map[string]*served{},
+		executed:      map[string]int{},
+		replaced:      map[string]bool{},
+		acknowledged:  map[string]bool{},
+		notRun:        map[string]bool{},
+		primaries:     map[string]bool{},
+		acks:          map[string][]time.Time{},
+	}
+}
+
+// organisation returns the counts of an organisation. The lock is held.
+func (t *tally) organisation(name string) *served {
+	s := t.organisations[name]
+	if s == nil {
+		s = &served{}
+		t.organisations[name] = s
+	}
+	return s
+}
+
+// execute takes in a statement that an endpoint ran. The texts of the callers
+// begin with the name of their organisation.
+func (t *tally) execute(_ string, e endpointfaker.Execution) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, text := range e.Texts {
+		owner, _, ok := strings.Cut(text, "/")
+		if !ok {
+			continue
+		}
+		if owner != e.Organisation {
+			t.cross++
+		}
+		if e.Write && strings.Contains(text, "#") {
+			t.executed[text]++
+			t.replaced[text] = t.replaced[text] || e.Replaced
+		}
+	}
+}
+
+// ask counts a request.
+func (t *tally) ask(organisation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.organisation(organisation).asked++
+}
+
+// answer counts a whole answer.
+func (t *tally) answer(organisation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.organisation(organisation).answered++
+}
+
+// acknowledge counts an acknowledged write.
+func (t *tally) acknowledge(database, mark string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.acknowledged[mark] = true
+	t.acks[database] = append(t.acks[database], at)
+}
+
+// refuse counts a request that was refused as not run.
+func (t *tally) refuse(organisation, mark string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.organisation(organisation).refused++
+	if mark != "" {
+		t.notRun[mark] = true
+	}
+}
+
+// fail counts a request whose outcome is unknown.
+func (t *tally) fail(organisation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.organisation(organisation).unknown++
+}
+
+// markStale counts a read that missed a write of its session.
+func (t *tally) markStale() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stale++
+}
+
+// replacedAcks counts acknowledged writes that only a replaced primary ran.
+func (t *tally) replacedAcks() int {
+	n := 0
+	for mark := range t.acknowledged {
+		if t.replaced[mark] {
+			n++
+		}
+	}
+	return n
+}
+
+// notRunButRan counts writes that were refused as not run and ran.
+func (t *tally) notRunButRan() int {
+	n := 0
+	for mark := range t.notRun {
+		if t.executed[mark] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// ranTwice counts writes that ran more than once.
+func (t *tally) ranTwice() int {
+	n := 0
+	for _, times := range t.executed {
+		if times > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// gap returns the longest time without an acknowledged write that spans at.
+func (t *tally) gap(database string, at time.Time) time.Duration {
+	acks := slices.Clone(t.acks[database])
+	slices.SortFunc(acks, time.Time.Compare)
+	for i := 1; i < len(acks); i++ {
+		if acks[i].After(at) {
+			return acks[i].Sub(acks[i-1])
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/endpointfaker/evaluator.go
@@ -0,0 +1,417 @@
+package endpointfaker
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+)
+
+// evaluator runs one statement within a transaction.
+type evaluator struct {
+	session *session
+	tx      *transaction
+	params  []Value
+	texts   []string
+}
+
+// statement runs a statement that is not transaction control.
+func (e *evaluator) statement(n *pgquery.Node) (result, error) {
+	switch s := n.GetNode().(type) {
+	case *pgquery.Node_SelectStmt:
+		return e.selects(s.SelectStmt)
+	case *pgquery.Node_InsertStmt:
+		return e.inserts(s.InsertStmt)
+	case *pgquery.Node_UpdateStmt:
+		return e.updates(s.UpdateStmt)
+	case *pgquery.Node_DeleteStmt:
+		return e.deletes(s.DeleteStmt)
+	case *pgquery.Node_CreateStmt:
+		return e.creates(s.CreateStmt)
+	case *pgquery.Node_VariableSetStmt:
+		return e.sets(s.VariableSetStmt), nil
+	case *pgquery.Node_VariableShowStmt:
+		name := s.VariableShowStmt.Name
+		return result{columns: []column{{name, pgtype.TextOID}}, rows: [][]Value{{text(e.session.settings[name])}}, tag: "SHOW"}, nil
+	default:
+		return result{}, failure("0A000", "the stand-in does not know this statement")
+	}
+}
+
+// sets changes a setting of the connection.
+func (e *evaluator) sets(s *pgquery.VariableSetStmt) result {
+	value := ""
+	if len(s.Args) > 0 {
+		value = s.Args[0].GetAConst().GetSval().GetSval()
+	}
+	e.session.settings[s.Name] = value
+	return result{tag: "SET"}
+}
+
+// creates makes a table.
+func (e *evaluator) creates(s *pgquery.CreateStmt) (result, error) {
+	if err := e.tx.lock(e.session.done); err != nil {
+		return result{}, err
+	}
+	name := s.Relation.Relname
+	if _, err := e.tx.read(name); err == nil {
+		if s.IfNotExists {
+			return result{tag: "CREATE TABLE"}, nil
+		}
+		return result{}, failure("42P07", "relation \""+name+"\" already exists")
+	}
+	var columns []column
+	for _, n := range s.TableElts {
+		d := n.GetColumnDef()
+		if d == nil {
+			continue
+		}
+		names := d.TypeName.Names
+		oid := uint32(pgtype.TextOID)
+		if strings.HasPrefix(names[len(names)-1].GetString_().GetSval(), "int") {
+			oid = pgtype.Int8OID
+		}
+		columns = append(columns, column{name: d.Colname, oid: oid})
+	}
+	e.tx.tables[name] = &table{columns: columns, rows: map[int64][]Value{}}
+	e.tx.operations = append(e.tx.operations, operation{table: name, create: columns})
+	return result{tag: "CREATE TABLE", wrote: true}, nil
+}
+
+// inserts adds rows.
+func (e *evaluator) inserts(s *pgquery.InsertStmt) (result, error) {
+	t, err := e.tx.write(s.Relation.Relname, e.session.done)
+	if err != nil {
+		return result{}, err
+	}
+	var written [][]Value
+	for _, list := range s.SelectStmt.GetSelectStmt().GetValuesLists() {
+		values := make([]Value, len(t.columns))
+		for n := range values {
+			values[n] = null
+		}
+		for n, item := range list.GetList().Items {
+			v, err := e.expression(item, t, nil)
+			if err != nil {
+				return result{}, err
+			}
+			at := n
+			if len(s.Cols) > 0 {
+				at = t.index(s.Cols[n].GetResTarget().Name)
+			}
+			if at < 0 || at >= len(values) {
+				return result{}, failure("42703", "no such column")
+			}
+			values[at] = v
+		}
+		t.next++
+		e.tx.record(s.Relation.Relname, t.next, values)
+		written = append(written, values)
+	}
+	return e.returning(t, written, s.ReturningList, "INSERT 0 "+strconv.Itoa(len(written)))
+}
+
+// updates changes rows.
+func (e *evaluator) updates(s *pgquery.UpdateStmt) (result, error) {
+	t, err := e.tx.write(s.Relation.Relname, e.session.done)
+	if err != nil {
+		return result{}, err
+	}
+	rows, err := e.matching(t, s.WhereClause)
+	if err != nil {
+		return result{}, err
+	}
+	var written [][]Value
+	for _, row := range rows {
+		values := append([]Value(nil), t.rows[row]...)
+		for _, target := range s.TargetList {
+			v, err := e.expression(target.GetResTarget().Val, t, t.rows[row])
+			if err != nil {
+				return result{}, err
+			}
+			at := t.index(target.GetResTarget().Name)
+			if at < 0 {
+				return result{}, failure("42703", "no such column")
+			}
+			values[at] = v
+		}
+		e.tx.record(s.Relation.Relname, row, values)
+		written = append(written, values)
+	}
+	return e.returning(t, written, s.ReturningList, "UPDATE "+strconv.Itoa(len(written)))
+}
+
+// deletes removes rows.
+func (e *evaluator) deletes(s *pgquery.DeleteStmt) (result, error) {
+	t, err := e.tx.write(s.Relation.Relname, e.session.done)
+	if err != nil {
+		return result{}, err
+	}
+	rows, err := e.matching(t, s.WhereClause)
+	if err != nil {
+		return result{}, err
+	}
+	for _, row := range rows {
+		e.tx.record(s.Relation.Relname, row, nil)
+	}
+	return result{tag: "DELETE " + strconv.Itoa(len(rows)), wrote: len(rows) > 0}, nil
+}
+
+// returning answers a write, with the rows that it asks for.
+func (e *evaluator) returning(t *table, rows [][]Value, list []*pgquery.Node, tag string) (result, error) {
+	r := result{tag: tag, wrote: len(rows) > 0}
+	if len(list) == 0 {
+		return r, nil
+	}
+	selected, err := e.project(t, rows, list)
+	r.columns, r.rows = selected.columns, selected.rows
+	return r, err
+}
+
+// selects answers a query.
+func (e *evaluator) selects(s *pgquery.SelectStmt) (result, error) {
+	if len(s.LockingClause) > 0 {
+		if err := e.tx.lock(e.session.done); err != nil {
+			return result{}, err
+		}
+	}
+	if len(s.FromClause) == 0 {
+		return e.selectExpressions(s)
+	}
+	t, err := e.tx.read(s.FromClause[0].GetRangeVar().GetRelname())
+	if err != nil {
+		return result{}, err
+	}
+	numbers, err := e.matching(t, s.WhereClause)
+	if err != nil {
+		return result{}, err
+	}
+	rows := make([][]Value, 0, len(numbers))
+	for _, n := range numbers {
+		rows = append(rows, t.rows[n])
+	}
+	return e.project(t, rows, s.TargetList)
+}
+
+// project computes the target list over rows.
+func (e *evaluator) project(t *table, rows [][]Value, list []*pgquery.Node) (result, error) {
+	if c := list[0].GetResTarget().Val.GetFuncCall(); c != nil && functionName(c) == "count" {
+		return result{columns: []column{{"count", pgtype.Int8OID}}, rows: [][]Value{{integer(int64(len(rows)))}}, tag: "SELECT 1"}, nil
+	}
+	r := result{tag: "SELECT " + strconv.Itoa(len(rows)), rows: make([][]Value, len(rows))}
+	for _, target := range list {
+		val := target.GetResTarget().Val
+		if fields := val.GetColumnRef().GetFields(); len(fields) > 0 && fields[len(fields)-1].GetAStar() != nil {
+			r.columns = append(r.columns, t.columns...)
+			for n := range rows {
+				r.rows[n] = append(r.rows[n], rows[n]...)
+			}
+			continue
+		}
+		r.columns = append(r.columns, e.describe(t, target.GetResTarget()))
+		for n := range rows {
+			v, err := e.expression(val, t, rows[n])
+			if err != nil {
+				return result{}, err
+			}
+			r.rows[n] = append(r.rows[n], v)
+		}
+	}
+	return r, nil
+}
+
+// describe returns the column of a target.
+func (e *evaluator) describe(t *table, target *pgquery.ResTarget) column {
+	c := column{name: target.Name, oid: pgtype.TextOID}
+	if ref := target.Val.GetColumnRef(); ref != nil && t != nil {
+		name := ref.Fields[len(ref.Fields)-1].GetString_().GetSval()
+		if at := t.index(name); at >= 0 {
+			c.oid = t.columns[at].oid
+		}
+		if c.name == "" {
+			c.name = name
+		}
+	}
+	if k := target.Val.GetAConst(); k.GetIval() != nil {
+		c.oid = pgtype.Int8OID
+	}
+	if c.name == "" {
+		c.name = "?column?"
+	}
+	return c
+}
+
+// selectExpressions answers a query without tables.
+func (e *evaluator) selectExpressions(s *pgquery.SelectStmt) (result, error) {
+	if len(s.TargetList) == 1 {
+		if c := s.TargetList[0].GetResTarget().Val.GetFuncCall(); c != nil {
+			return e.function(c)
+		}
+	}
+	r := result{tag: "SELECT 1", rows: [][]Value{nil}}
+	for _, target := range s.TargetList {
+		v, err := e.expression(target.GetResTarget().Val, nil, nil)
+		if err != nil {
+			return result{}, err
+		}
+		r.columns = append(r.columns, e.describe(nil, target.GetResTarget()))
+		r.rows[0] = append(r.rows[0], v)
+	}
+	return r, nil
+}
+
+// functionName returns the last part of a function's name.
+func functionName(c *pgquery.FuncCall) string {
+	return c.Funcname[len(c.Funcname)-1].GetString_().GetSval()
+}
+
+// function answers a query that calls one function.
+func (e *evaluator) function(c *pgquery.FuncCall) (result, error) {
+	args := make([]Value, 0, len(c.Args))
+	for _, a := range c.Args {
+		v, err := e.expression(a, nil, nil)
+		if err != nil {
+			return result{}, err
+		}
+		args = append(args, v)
+	}
+	name := functionName(c)
+	one := func(v Value, oid uint32) result {
+		return result{columns: []column{{name, oid}}, rows: [][]Value{{v}}, tag: "SELECT 1"}
+	}
+	switch {
+	case strings.HasPrefix(name, "marigoldgauge_"):
+		return e.session.instance.control(time.Now(), name, args)
+	case name == "pg_sleep" && len(args) == 1:
+		return one(text(""), pgtype.TextOID), e.session.sleep(args[0])
+	case name == "current_setting" && len(args) >= 1:
+		return one(text(e.session.settings[args[0].String()]), pgtype.TextOID), nil
+	case name == "generate_series" && len(args) == 2:
+		r := result{columns: []column{{name, pgtype.Int8OID}}}
+		for n := args[0].number(); n <= args[1].number(); n++ {
+			r.rows = append(r.rows, []Value{integer(n)})
+		}
+		r.tag = "SELECT " + strconv.Itoa(len(r.rows))
+		return r, nil
+	default:
+		return result{}, failure("42883", "the stand-in does not know the function "+name)
+	}
+}
+
+// matching returns the numbers of the rows that fulfil a condition, in ascending order.
+func (e *evaluator) matching(t *table, where *pgquery.Node) ([]int64, error) {
+	var out []int64
+	for n, row := range t.rows {
+		ok, err := e.condition(where, t, row)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			out = append(out, n)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out, nil
+}
+
+// condition evaluates a condition on a row; none is true.
+func (e *evaluator) condition(n *pgquery.Node, t *table, row []Value) (bool, error) {
+	if n == nil {
+		return true, nil
+	}
+	if b := n.GetBoolExpr(); b != nil && b.Boolop == pgquery.BoolExprType_AND_EXPR {
+		for _, a := range b.Args {
+			if ok, err := e.condition(a, t, row); err != nil || !ok {
+				return false, err
+			}
+		}
+		return true, nil
+	}
+	v, err := e.expression(n, t, row)
+	return v.S == "t", err
+}
+
+// expression evaluates an expression on a row.
+func (e *evaluator) expression(n *pgquery.Node, t *table, row []Value) (Value, error) {
+	switch x := n.GetNode().(type) {
+	case *pgquery.Node_AConst:
+		return e.constant(x.AConst), nil
+	case *pgquery.Node_ParamRef:
+		at := int(x.ParamRef.Number) - 1
+		if at < 0 || at >= len(e.params) {
+			return null, failure("08P01", "a parameter is missing")
+		}
+		e.note(e.params[at])
+		return e.params[at], nil
+	case *pgquery.Node_TypeCast:
+		return e.expression(x.TypeCast.Arg, t, row)
+	case *pgquery.Node_ColumnRef:
+		name := x.ColumnRef.Fields[len(x.ColumnRef.Fields)-1].GetString_().GetSval()
+		if t == nil || t.index(name) < 0 {
+			return null, failure("42703", "column \""+name+"\" does not exist")
+		}
+		if row == nil {
+			return null, nil
+		}
+		return row[t.index(name)], nil
+	case *pgquery.Node_AExpr:
+		return e.operator(x.AExpr, t, row)
+	default:
+		return null, failure("0A000", "the stand-in does not know this expression")
+	}
+}
+
+// note remembers the texts of a statement.
+func (e *evaluator) note(v Value) {
+	if !v.Integer && !v.Null && !slices.Contains(e.texts, v.S) {
+		e.texts = append(e.texts, v.S)
+	}
+}
+
+// constant returns the value of a constant.
+func (e *evaluator) constant(c *pgquery.A_Const) Value {
+	switch {
+	case c.Isnull:
+		return null
+	case c.GetSval() != nil:
+		v := text(c.GetSval().Sval)
+		e.note(v)
+		return v
+	case c.GetFval() != nil:
+		return text(c.GetFval().Fval)
+	default:
+		return integer(int64(c.GetIval().GetIval()))
+	}
+}
+
+// operator evaluates a binary operator.
+func (e *evaluator) operator(x *pgquery.A_Expr, t *table, row []Value) (Value, error) {
+	l, err := e.expression(x.Lexpr, t, row)
+	if err != nil {
+		return null, err
+	}
+	r, err := e.expression(x.Rexpr, t, row)
+	if err != nil {
+		return null, err
+	}
+	switch x.Name[0].GetString_().GetSval() {
+	case "=":
+		return boolean(l.equal(r)), nil
+	case "<>":
+		return boolean(!l.Null && !r.Null && !l.equal(r)), nil
+	case "<":
+		return boolean(l.number() < r.number()), nil
+	case ">":
+		return boolean(l.number() > r.number()), nil
+	case "+":
+		return integer(l.number() + r.number()), nil
+	case "-":
+		return integer(l.number() - r.number()), nil
+	default:
+		return null, failure("42883", "the stand-in does not know this operator")
+	}
+}
--- /dev/null
+++ b/endpointfaker/execution.go
@@ -0,0 +1,212 @@
+package endpointfaker
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+)
+
+// execute runs one statement in its slot and within its transaction.
+func (s *session) execute(n *pgquery.Node, text string, params []Value) (result, error) {
+	if t := n.GetTransactionStmt(); t != nil {
+		return s.control(t)
+	}
+	if s.tx != nil && s.tx.failed {
+		return result{}, failure("25P02", "the transaction is aborted")
+	}
+	if isControl(n) {
+		e := &evaluator{session: s, tx: s.instance.begin(false, true)}
+		return e.statement(n)
+	}
+	tx := s.tx
+	if tx == nil {
+		tx = s.instance.begin(false, false)
+		defer tx.release()
+	}
+	if writes(n) {
+		if err := tx.lock(s.done); err != nil {
+			return result{}, err
+		}
+	}
+	if err := s.occupy(); err != nil {
+		return result{}, err
+	}
+	defer s.vacate()
+	e := &evaluator{session: s, tx: tx, params: params}
+	r, err := e.statement(n)
+	if err != nil {
+		return result{}, err
+	}
+	return r, s.complete(tx, e, r, text)
+}
+
+// complete commits a statement outside a transaction and reports the execution.
+func (s *session) complete(tx *transaction, e *evaluator, r result, text string) error {
+	if r.wrote {
+		tx.marks = append(tx.marks, e.texts...)
+	}
+	replaced := s.instance.group.replaced(s.instance, tx.term)
+	if !tx.explicit {
+		if _, err := tx.commit(time.Now()); err != nil {
+			return err
+		}
+		if r.wrote {
+			s.loseAnswer()
+		}
+	}
+	s.instance.executions.Add(1)
+	if f := s.instance.group.options.OnExecute; f != nil {
+		f(Execution{
+			Instance:     s.instance.id,
+			Organisation: s.settings["marigoldgauge.organisation"],
+			Text:         text,
+			Texts:        e.texts,
+			Write:        r.wrote,
+			Term:         tx.term,
+			Replaced:     replaced,
+			At:           time.Now(),
+		})
+	}
+	return nil
+}
+
+// loseAnswer breaks the connection off when the switch says so.
+func (s *session) loseAnswer() {
+	i := s.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.faults.LoseAnswers > 0 {
+		i.faults.LoseAnswers--
+		s.lost = true
+	}
+}
+
+// control runs transaction control.
+func (s *session) control(t *pgquery.TransactionStmt) (result, error) {
+	switch t.Kind {
+	case pgquery.TransactionStmtKind_TRANS_STMT_BEGIN, pgquery.TransactionStmtKind_TRANS_STMT_START:
+		if s.tx == nil {
+			readOnly := false
+			for _, o := range t.Options {
+				d := o.GetDefElem()
+				readOnly = readOnly || d.GetDefname() == "transaction_read_only" && d.GetArg().GetAConst().GetIval().GetIval() == 1
+			}
+			s.tx = s.instance.begin(true, readOnly)
+		}
+		return result{tag: "BEGIN"}, nil
+	case pgquery.TransactionStmtKind_TRANS_STMT_COMMIT:
+		return s.commit()
+	case pgquery.TransactionStmtKind_TRANS_STMT_ROLLBACK:
+		if s.tx != nil {
+			s.tx.release()
+			s.tx = nil
+		}
+		return result{tag: "ROLLBACK"}, nil
+	default:
+		return result{}, failure("0A000", "the stand-in knows no savepoints")
+	}
+}
+
+// commit ends a transaction.
+func (s *session) commit() (result, error) {
+	tx := s.tx
+	s.tx = nil
+	switch {
+	case tx == nil:
+		return result{tag: "COMMIT"}, nil
+	case tx.failed:
+		tx.release()
+		return result{tag: "ROLLBACK"}, nil
+	}
+	if _, err := tx.commit(time.Now()); err != nil {
+		return result{}, err
+	}
+	if len(tx.operations) > 0 {
+		s.loseAnswer()
+	}
+	return result{tag: "COMMIT"}, nil
+}
+
+// isControl reports whether a statement watches or steers the instance, or
+// changes a setting; it needs no slot.
+func isControl(n *pgquery.Node) bool {
+	if n.GetVariableSetStmt() != nil {
+		return true
+	}
+	targets := n.GetSelectStmt().GetTargetList()
+	if len(targets) != 1 {
+		return false
+	}
+	c := targets[0].GetResTarget().GetVal().GetFuncCall()
+	return c != nil && strings.HasPrefix(functionName(c), "marigoldgauge_")
+}
+
+// writes reports whether a statement takes the lock of the writer.
+func writes(n *pgquery.Node) bool {
+	switch x := n.GetNode().(type) {
+	case *pgquery.Node_InsertStmt, *pgquery.Node_UpdateStmt, *pgquery.Node_DeleteStmt, *pgquery.Node_CreateStmt:
+		return true
+	case *pgquery.Node_SelectStmt:
+		return len(x.SelectStmt.LockingClause) > 0
+	default:
+		return false
+	}
+}
+
+// occupy waits for a slot and spends the service time in it.
+func (s *session) occupy() error {
+	select {
+	case <-s.cancelled:
+	default:
+	}
+	if s.instance.slots != nil {
+		select {
+		case s.instance.slots <- struct{}{}:
+		case <-s.cancelled:
+			return failure("57014", "cancelled")
+		case <-s.done:
+			return failure("57P01", "the connection was closed")
+		}
+	}
+	service := s.instance.group.options.ServiceTime + s.instance.fault().Slow
+	if err := s.wait(service); err != nil {
+		s.vacate()
+		return err
+	}
+	return nil
+}
+
+// vacate frees the slot.
+func (s *session) vacate() {
+	if s.instance.slots != nil {
+		<-s.instance.slots
+	}
+}
+
+// wait spends a time, unless the statement is cancelled.
+func (s *session) wait(d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-s.cancelled:
+		return failure("57014", "cancelled")
+	case <-s.done:
+		return failure("57P01", "the connection was closed")
+	}
+}
+
+// sleep answers pg_sleep.
+func (s *session) sleep(v Value) error {
+	seconds, err := strconv.ParseFloat(v.String(), 64)
+	if err != nil {
+		return failure("22023", "not a number of seconds")
+	}
+	return s.wait(time.Duration(seconds * float64(time.Second)))
+}
--- /dev/null
+++ b/forwarder/remote.go
@@ -0,0 +1,99 @@
+package forwarder
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/messenger"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+)
+
+// remote is a unit of work at another VM, on a stream of its own.
+type remote struct {
+	router *Router
+	caller *Caller
+	vm     string
+	to     netip.AddrPort
+	ask    pooler.Ask
+
+	mu     sync.Mutex
+	stream messenger.DRPCPeer_WorkClient
+	cancel context.CancelFunc
+}
+
+// Exchange runs one batch.
+func (r *remote) Exchange(ctx context.Context, b *pooler.Batch, sink pooler.Sink) (pooler.Result, error) {
+	m := &messenger.WorkRequest{}
+	if r.stream == nil {
+		if err := r.open(ctx); err != nil {
+			return pooler.Result{}, err
+		}
+		m.Ask = askOut(r.ask)
+	}
+	batchOut(b, m)
+	if err := r.send(m); err != nil {
+		return pooler.Result{}, eris.Wrap(err, "sending a batch to the owner")
+	}
+	for {
+		reply, err := r.stream.Recv()
+		if err != nil {
+			return pooler.Result{}, eris.Wrap(err, "receiving the answer of the owner")
+		}
+		if len(reply.GetFrames()) > 0 {
+			if err := sink.Frames(reply.GetFrames()); err != nil {
+				return pooler.Result{}, err
+			}
+		}
+		if reply.GetEnd() != nil {
+			return endIn(reply.GetEnd())
+		}
+	}
+}
+
+// open opens the stream.
+func (r *remote) open(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := r.caller.client(ctx, r.to).Work(ctx)
+	if err != nil {
+		cancel()
+		return unreachable{err}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stream, r.cancel = stream, cancel
+	r.router.enter(r)
+	return nil
+}
+
+// send sends a message on the stream.
+func (r *remote) send(m *messenger.WorkRequest) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stream.Send(m)
+}
+
+// Close ends the stream; the owner rolls an open transaction back.
+func (r *remote) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stream == nil {
+		return
+	}
+	r.router.leave(r)
+	_ = r.stream.Close()
+	r.cancel()
+}
+
+// Cancel interrupts the running batch.
+func (r *remote) Cancel(context.Context) error {
+	r.mu.Lock()
+	open := r.stream != nil
+	r.mu.Unlock()
+	if !open {
+		return nil
+	}
+	return r.send(&messenger.WorkRequest{Cancel: true})
+}
--- /dev/null
+++ b/forwarder/router.go
@@ -0,0 +1,102 @@
+// Package forwarder carries units of work to the owner of a group's pool, on
+// this VM or another one, and repeats what certainly did not run.
+package forwarder
+
+import (
+	"context"
+	"sync"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+	"github.com/marigoldgauge/marigoldgauge/retrier"
+)
+
+// unit is a unit of work at one owner.
+type unit interface {
+	// Exchange runs one batch.
+	Exchange(ctx context.Context, b *pooler.Batch, sink pooler.Sink) (pooler.Result, error)
+	// Close lets go of the unit; an open transaction is rolled back.
+	Close()
+	// Cancel interrupts the running batch.
+	Cancel(ctx context.Context) error
+}
+
+// Router finds the owner of a pool.
+type Router struct {
+	self     string
+	caller   *Caller
+	register Register
+	local    func(group string) *pooler.Pool
+	clock    clocker.Clock
+	budgets  *retrier.Budgets
+
+	mu      sync.Mutex
+	remotes map[string]map[*remote]struct{}
+}
+
+// NewRouter returns the Router of a VM; local returns its own pools.
+func NewRouter(self string, c *Caller, r Register, local func(group string) *pooler.Pool, clock clocker.Clock) *Router {
+	return &Router{self: self, caller: c, register: r, local: local, clock: clock, budgets: retrier.NewBudgets(), remotes: map[string]map[*remote]struct{}{}}
+}
+
+// Open returns a unit of work, which starts with its first batch.
+func (r *Router) Open(a pooler.Ask) *Work {
+	return &Work{router: r, ask: a}
+}
+
+// place opens a unit of work at the VM that should own the pool.
+func (r *Router) place(a pooler.Ask) (u unit, owner string, err error) {
+	pool := r.local(a.Group)
+	if pool == nil {
+		return nil, "", coder.New(coder.RouteUnknown, "no group "+a.Group)
+	}
+	if pool.State() == pooler.Owning {
+		return pool.Open(a), r.self, nil
+	}
+	m, ok := r.register.Roster().Owner(a.Group, r.register.Suspected)
+	if !ok {
+		return nil, "", coder.New(coder.OwnerUnavailable, "no VM owns the pool of "+a.Group)
+	}
+	if m.ID == r.self {
+		return pool.Open(a), r.self, nil
+	}
+	u = &remote{router: r, caller: r.caller, vm: m.ID, to: m.Address, ask: a}
+	return u, m.ID, nil
+}
+
+// enter notes a unit of work at another VM.
+func (r *Router) enter(u *remote) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.remotes[u.vm] == nil {
+		r.remotes[u.vm] = map[*remote]struct{}{}
+	}
+	r.remotes[u.vm][u] = struct{}{}
+}
+
+// leave forgets a unit of work at another VM.
+func (r *Router) leave(u *remote) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.remotes[u.vm], u)
+	if len(r.remotes[u.vm]) == 0 {
+		delete(r.remotes, u.vm)
+	}
+}
+
+// Abandon breaks off the units of work at VMs that are not on the roster: a VM
+// that is paused or cut off would keep them waiting.
+func (r *Router) Abandon(roster registrar.Roster) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for vm, units := range r.remotes {
+		if _, ok := roster.Member(vm); ok {
+			continue
+		}
+		for u := range units {
+			u.cancel()
+		}
+	}
+}
--- /dev/null
+++ b/forwarder/server.go
@@ -0,0 +1,199 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/messenger"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+)
+
+// Beats answers heartbeats.
+type Beats interface {
+	// Handle answers a heartbeat as the coordinator.
+	Handle(b registrar.Beat) registrar.Answer
+}
+
+// Canceller interrupts the statements of callers connected to this VM.
+type Canceller interface {
+	// Cancel interrupts the statement of a caller and reports whether it was found.
+	Cancel(ctx context.Context, process, secret uint32) bool
+}
+
+// Server serves the other VMs.
+type Server struct {
+	local     func(group string) *pooler.Pool
+	beats     Beats
+	canceller Canceller
+}
+
+// NewServer returns the Server of a VM; local returns its own pools.
+func NewServer(local func(group string) *pooler.Pool, b Beats, c Canceller) *Server {
+	return &Server{local: local, beats: b, canceller: c}
+}
+
+// Serve answers the other VMs until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterPeer(mux, s); err != nil {
+		return eris.Wrap(err, "registering the service")
+	}
+	err := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serving the other VMs")
+}
+
+// Beat answers a heartbeat.
+func (s *Server) Beat(_ context.Context, m *messenger.BeatRequest) (*messenger.BeatReply, error) {
+	a := s.beats.Handle(registrar.Beat{
+		Member:         memberIn(m.GetMember()),
+		Changes:        m.GetChanges(),
+		Suspects:       m.GetSuspects(),
+		StoreReachable: m.GetStoreReachable(),
+	})
+	reply := &messenger.BeatReply{
+		RosterVersion:  a.Roster.Version,
+		Generation:     a.Generation,
+		Snapshot:       a.Snapshot,
+		Changes:        a.Changes,
+		StoreReachable: a.StoreReachable,
+	}
+	for _, member := range a.Roster.Members {
+		reply.Members = append(reply.Members, memberOut(member))
+	}
+	return reply, nil
+}
+
+// Handover lets go of a pool.
+func (s *Server) Handover(_ context.Context, m *messenger.HandoverRequest) (*messenger.HandoverReply, error) {
+	pool := s.local(m.GetGroup())
+	if pool == nil {
+		return &messenger.HandoverReply{Released: true}, nil
+	}
+	h := pool.Release(m.GetClaimant())
+	reply := &messenger.HandoverReply{Released: h.Released}
+	for _, u := range h.Uses {
+		reply.Uses = append(reply.Uses, &messenger.InstanceUse{Instance: u.Instance, Connections: uint32(u.Connections)})
+	}
+	return reply, nil
+}
+
+// Share grants fractions of rates.
+func (s *Server) Share(_ context.Context, m *messenger.ShareRequest) (*messenger.ShareReply, error) {
+	pool := s.local(m.GetGroup())
+	if pool == nil {
+		return &messenger.ShareReply{NotOwner: true}, nil
+	}
+	requests := make([]pooler.ShareRequest, 0, len(m.GetFractions()))
+	for _, f := range m.GetFractions() {
+		requests = append(requests, shareIn(f))
+	}
+	replies, ok := pool.Grant(requests)
+	reply := &messenger.ShareReply{NotOwner: !ok}
+	for _, r := range replies {
+		reply.Grants = append(reply.Grants, &messenger.Grant{
+			Organisation: r.Organisation, Owner: r.Owner, Number: r.Number, Sequence: r.Sequence, Granted: r.Granted,
+		})
+	}
+	return reply, nil
+}
+
+// Observe tells whether this VM reaches an instance.
+func (s *Server) Observe(ctx context.Context, m *messenger.ObserveRequest) (*messenger.ObserveReply, error) {
+	pool := s.local(m.GetGroup())
+	if pool == nil {
+		return &messenger.ObserveReply{}, nil
+	}
+	reachable, term := pool.Observe(ctx, m.GetInstance())
+	return &messenger.ObserveReply{Reachable: reachable, Term: term}, nil
+}
+
+// Cancel interrupts the statement of a caller connected to this VM.
+func (s *Server) Cancel(ctx context.Context, m *messenger.CancelRequest) (*messenger.CancelReply, error) {
+	return &messenger.CancelReply{Found: s.canceller.Cancel(ctx, m.GetProcess(), m.GetSecret())}, nil
+}
+
+// requestRing is the number of messages of one stream that wait.
+const requestRing = 4
+
+// Work runs the batches of one unit of work.
+func (s *Server) Work(stream messenger.DRPCPeer_WorkStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	pool := s.local(first.GetAsk().GetGroup())
+	if pool == nil {
+		return stream.Send(&messenger.WorkReply{End: endOut(pooler.Result{}, coder.New(coder.RouteUnknown, "no such group"))})
+	}
+	work := pool.Open(askIn(first.GetAsk()))
+	ctx, cancel := context.WithCancel(stream.Context())
+	requests := make(chan *messenger.WorkRequest, requestRing)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		return receive(ctx, stream, work, requests)
+	})
+	err = s.exchange(ctx, stream, work, first, requests)
+	work.Close()
+	if err != nil {
+		return err
+	}
+	return nil
+}
+
+// receive passes requests on, and cancels at once.
+func receive(ctx context.Context, stream messenger.DRPCPeer_WorkStream, work *pooler.Work, requests chan<- *messenger.WorkRequest) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		if m.GetCancel() {
+			_ = work.Cancel(ctx)
+			continue
+		}
+		select {
+		case requests <- m:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// exchange runs batches until the unit of work ends.
+func (s *Server) exchange(ctx context.Context, stream messenger.DRPCPeer_WorkStream, work *pooler.Work, m *messenger.WorkRequest, requests <-chan *messenger.WorkRequest) error {
+	for {
+		result, err := work.Exchange(ctx, batchIn(m), streamSink{stream})
+		if sendErr := stream.Send(&messenger.WorkReply{End: endOut(result, err)}); sendErr != nil {
+			return sendErr
+		}
+		if err != nil || result.TransactionStatus == 'I' {
+			return nil
+		}
+		select {
+		case m = <-requests:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// streamSink passes frames on to the VM that asked.
+type streamSink struct {
+	stream messenger.DRPCPeer_WorkStream
+}
+
+// Frames passes frames on.
+func (s streamSink) Frames(raw []byte) error {
+	return s.stream.Send(&messenger.WorkReply{Frames: raw})
+}
--- /dev/null
+++ b/governor/index.go
@@ -0,0 +1,104 @@
+package governor
+
+import "slices"
+
+// Index answers the questions of the request path about one State.
+type Index struct {
+	state         State
+	organisations map[string]*Profile
+	keys          map[string]keyEntry
+	groups        map[string][]string
+}
+
+// Profile is an organisation with its values in force.
+type Profile struct {
+	Organisation
+	Effective
+	// Groups are the database groups that the organisation uses, in ascending order.
+	Groups []string
+}
+
+// keyEntry is the holder of a key.
+type keyEntry struct {
+	organisation string
+	key          Key
+}
+
+// NewIndex returns the index of a state.
+func NewIndex(s State) *Index {
+	x := &Index{
+		state:         s,
+		organisations: make(map[string]*Profile, len(s.Organisations)),
+		keys:          map[string]keyEntry{},
+		groups:        map[string][]string{},
+	}
+	for _, o := range s.Organisations {
+		p := &Profile{Organisation: o, Effective: s.Effective(o), Groups: s.groupsOf(o)}
+		x.organisations[o.Name] = p
+		for _, k := range o.Keys {
+			x.keys[k.ID] = keyEntry{organisation: o.Name, key: k}
+		}
+		for _, g := range p.Groups {
+			x.groups[g] = append(x.groups[g], o.Name)
+		}
+	}
+	return x
+}
+
+// groupsOf returns the groups that an organisation uses.
+func (s State) groupsOf(o Organisation) []string {
+	var groups []string
+	for _, d := range o.Databases {
+		if r, ok := s.Route(d); ok {
+			groups = append(groups, r.Group)
+		}
+	}
+	slices.Sort(groups)
+	return slices.Compact(groups)
+}
+
+// State returns the state that the index describes.
+func (x *Index) State() State {
+	return x.state
+}
+
+// Generation returns the generation of the state.
+func (x *Index) Generation() uint64 {
+	return x.state.Generation
+}
+
+// Profile returns the profile of an organisation.
+func (x *Index) Profile(organisation string) (*Profile, bool) {
+	p, ok := x.organisations[organisation]
+	return p, ok
+}
+
+// Key returns a key that may be used, with its organisation.
+func (x *Index) Key(id string) (organisation string, key Key, ok bool) {
+	e, ok := x.keys[id]
+	if !ok || e.key.Withdrawn {
+		return "", Key{}, false
+	}
+	return e.organisation, e.key, true
+}
+
+// Organisations returns the organisations that use a group.
+func (x *Index) Organisations(group string) []string {
+	return x.groups[group]
+}
+
+// Allowed reports whether an organisation may use a database, and its route.
+func (x *Index) Allowed(organisation, database string) (Route, bool) {
+	r, ok := x.state.Route(database)
+	if !ok {
+		return Route{}, false
+	}
+	if r.Open {
+		return r, true
+	}
+	p, ok := x.organisations[organisation]
+	if !ok || !slices.Contains(p.Databases, database) {
+		return Route{}, false
+	}
+	return r, true
+}
--- /dev/null
+++ b/governor/organisation.go
@@ -0,0 +1,35 @@
+package governor
+
+// Organisation is the profile of one organisation.
+type Organisation struct {
+	// Name names the organisation.
+	Name string `json:"name"`
+	// Template names the template that the profile follows.
+	Template string `json:"template"`
+	// Rate overrides the template's default, in requests a second.
+	Rate *float64 `json:"rate,omitempty"`
+	// Burst overrides the template's default, in requests.
+	Burst *float64 `json:"burst,omitempty"`
+	// Staleness overrides the template's default.
+	Staleness *Duration `json:"staleness,omitempty"`
+	// Databases are the routes that the organisation may use.
+	Databases []string `json:"databases"`
+	// Keys are the verifiers of the organisation's keys.
+	Keys []Key `json:"keys,omitempty"`
+}
+
+// Key is the SCRAM-SHA-256 verifier of a key; it does not reveal the key.
+type Key struct {
+	// ID names the key; callers give it as their user name.
+	ID string `json:"id"`
+	// Salt is the salt of the verifier.
+	Salt []byte `json:"salt"`
+	// Iterations is the iteration count of the verifier.
+	Iterations int `json:"iterations"`
+	// StoredKey verifies the caller.
+	StoredKey []byte `json:"stored-key"`
+	// ServerKey proves the server to the caller.
+	ServerKey []byte `json:"server-key"`
+	// Withdrawn reports whether the key stopped working.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
--- /dev/null
+++ b/governor/route.go
@@ -0,0 +1,13 @@
+package governor
+
+// Route leads from a database name to a database group.
+type Route struct {
+	// Database is the name that callers connect to.
+	Database string `json:"database"`
+	// Group is the database group that serves it.
+	Group string `json:"group"`
+	// Open reports whether the route needs no key.
+	Open bool `json:"open,omitempty"`
+	// Capacity is the number of requests a second that the group is known to carry; zero if unknown.
+	Capacity float64 `json:"capacity,omitempty"`
+}
--- /dev/null
+++ b/keeper/client.go
@@ -0,0 +1,145 @@
+// Package keeper speaks to the platform's store over HTTP.
+//
+// Versions are entity tags, conditional updates use If-Match and If-None-Match,
+// and a watch is a request that the store answers when something changed.
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxValueBytes is the largest value that the store takes.
+	MaxValueBytes = 1 << 20
+	// maxAnswerBytes bounds what is read of an answer.
+	maxAnswerBytes = 64 << 20
+	// callTimeout bounds a call that is not a watch.
+	callTimeout = 2 * time.Second
+)
+
+// Client is a client of the platform's store. It is safe for concurrent use.
+type Client struct {
+	base   string
+	http   *http.Client
+	reads  atomic.Uint64
+	writes atomic.Uint64
+	waits  atomic.Uint64
+}
+
+// New returns a Client of the store at base, such as http://10.0.0.1:8400.
+func New(base string, transport http.RoundTripper) *Client {
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Calls returns the number of reads, writes and watches so far.
+func (c *Client) Calls() Calls {
+	return Calls{Reads: c.reads.Load(), Writes: c.writes.Load(), Watches: c.waits.Load()}
+}
+
+// Get returns an object, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	c.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var o Object
+	err := c.do(ctx, http.MethodGet, "/objects/"+url.PathEscape(key), nil, Condition{}, &o)
+	return o, err
+}
+
+// Put writes an object under a condition and returns its new version.
+//
+// After an error other than ErrConflict the outcome is unknown: read the object
+// again and look for your own mark in it.
+func (c *Client) Put(ctx context.Context, key string, value []byte, cond Condition) (string, error) {
+	if len(value) > MaxValueBytes {
+		return "", eris.Errorf("value of %s has %d bytes, more than %d", key, len(value), MaxValueBytes)
+	}
+	c.writes.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var o Object
+	err := c.do(ctx, http.MethodPut, "/objects/"+url.PathEscape(key), value, cond, &o)
+	return o.Version, err
+}
+
+// List returns the objects whose keys begin with prefix.
+func (c *Client) List(ctx context.Context, prefix string) (Page, error) {
+	c.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var p Page
+	err := c.do(ctx, http.MethodGet, "/objects?prefix="+url.QueryEscape(prefix), nil, Condition{}, &p)
+	return p, err
+}
+
+// Watch waits at most wait for writes under prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
+	c.waits.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	q := url.Values{}
+	q.Set("prefix", prefix)
+	q.Set("after", strconv.FormatUint(after, 10))
+	q.Set("wait", wait.String())
+	var p Page
+	err := c.do(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, Condition{}, &p)
+	return p, err
+}
+
+// VMs returns the platform's lagging list of VMs.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	c.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var vms []VM
+	err := c.do(ctx, http.MethodGet, "/vms", nil, Condition{}, &vms)
+	return vms, err
+}
+
+// do sends one request and decodes the answer into out.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, cond Condition, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrapf(err, "building the request %s %s", method, path)
+	}
+	if cond.Absent {
+		req.Header.Set("If-None-Match", "*")
+	}
+	if cond.Version != "" {
+		req.Header.Set("If-Match", cond.Version)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "calling the store: %s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decode(resp, out)
+}
+
+// decode reads an answer.
+func decode(resp *http.Response, out any) error {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusPreconditionFailed:
+		return ErrConflict
+	default:
+		return eris.Errorf("the store answered with status %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return eris.Wrap(err, "reading the store's answer")
+	}
+	return eris.Wrap(json.Unmarshal(raw, out), "decoding the store's answer")
+}
--- /dev/null
+++ b/keeper/condition.go
@@ -0,0 +1,9 @@
+package keeper
+
+// Condition makes an update depend on the version at hand.
+type Condition struct {
+	// Absent requires that the object does not exist.
+	Absent bool
+	// Version requires this version, unless empty.
+	Version string
+}
--- /dev/null
+++ b/pooler/account.go
@@ -0,0 +1,72 @@
+package pooler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/allotter"
+	"github.com/marigoldgauge/marigoldgauge/limiter"
+)
+
+// account is the budget of one organisation at the owner of a pool.
+type account struct {
+	bucket  *limiter.Bucket
+	spender *allotter.Spender
+	limit   limiter.Limit
+	groups  []string
+	arrived float64
+	wanted  uint64
+	since   time.Time
+	refused uint64
+	ran     uint64
+}
+
+// newAccount returns the account of an organisation in a pool that was taken over at ownedAt.
+//
+// What the earlier owner of the pool let through is not known, so the bucket
+// starts empty, unless nobody owned the pool before.
+func newAccount(now, ownedAt time.Time, group string, epoch uint64, limit limiter.Limit, groups []string) *account {
+	a := &account{limit: limit, groups: groups, since: now}
+	fraction := 1.0
+	if len(groups) > 1 {
+		bases := allotter.Bases(len(groups))
+		a.spender = allotter.NewSpender(ownedAt, group, epoch, bases[max(slices.Index(groups, group), 0)])
+		fraction = float64(a.spender.Usable(now)) / allotter.Whole
+	}
+	scaled := limit.Scale(fraction)
+	tokens := min(scaled.Burst, scaled.Rate*now.Sub(ownedAt).Seconds())
+	if epoch == 1 {
+		tokens = scaled.Burst
+	}
+	a.bucket = limiter.NewBucket(now, scaled, tokens)
+	return a
+}
+
+// refresh brings the bucket in line with the configuration and the fraction at hand.
+func (a *account) refresh(now time.Time, limit limiter.Limit) {
+	a.limit = limit
+	scaled := limit
+	if a.spender != nil {
+		scaled = limit.Scale(float64(a.spender.Usable(now)) / allotter.Whole)
+	}
+	if scaled != a.bucket.Limit() {
+		a.bucket.Set(now, scaled)
+	}
+}
+
+// demand returns the fraction of the rate that the arrivals since the last
+// call could use beyond what is kept.
+func (a *account) demand(now time.Time) uint64 {
+	elapsed := now.Sub(a.since).Seconds()
+	if elapsed <= 0 || a.limit.Rate <= 0 {
+		return a.wanted
+	}
+	rate := a.arrived / elapsed
+	a.arrived, a.since = 0, now
+	fraction := uint64(min(rate/a.limit.Rate*demandHeadroom, 1) * allotter.Whole)
+	a.wanted = max(fraction, a.wanted/2)
+	return a.wanted - min(a.wanted, a.spender.Kept())
+}
+
+// demandHeadroom makes an organisation ask for somewhat more than it used.
+const demandHeadroom = 1.25
--- /dev/null
+++ b/pooler/acquire.go
@@ -0,0 +1,365 @@
+package pooler
+
+import (
+	"context"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/scheduler"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// start gets a slot, and for the first batch a connection.
+func (w *Work) start(ctx context.Context, b *Batch) error {
+	if w.conn != nil {
+		return w.resume(ctx, b)
+	}
+	deadline := w.pool.clock.Now().Add(w.ask.Timeout)
+	if b.Charged {
+		if err := w.pool.admit(ctx, w.ask.Organisation, w.pool.settings.RateWait); err != nil {
+			return err
+		}
+	}
+	for {
+		if err := w.pool.choose(ctx, w, deadline); err != nil {
+			return err
+		}
+		err := w.connect(ctx)
+		if err == nil {
+			return nil
+		}
+		now := w.pool.clock.Now()
+		if !now.Before(deadline) || ctx.Err() != nil {
+			return err
+		}
+		if err := pause(ctx, reconnectPause); err != nil {
+			return err
+		}
+	}
+}
+
+// reconnectPause is the wait after a connection could not be opened.
+const reconnectPause = 20 * time.Millisecond
+
+// pause waits for a time.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return coder.New(coder.Draining, "the request was given up")
+	}
+}
+
+// resume takes a slot for the next batch of a transaction. It does not queue:
+// the transaction may hold locks that others wait for.
+func (w *Work) resume(ctx context.Context, b *Batch) error {
+	if b.Charged {
+		if err := w.pool.admit(ctx, w.ask.Organisation, w.ask.Timeout); err != nil {
+			return err
+		}
+	}
+	now := w.pool.clock.Now()
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.instance.queue.Charge(w.ask.Organisation, now.Sub(w.paused)/idleShare)
+	w.instance.queue.Start(w.ask.Organisation)
+	w.instance.running++
+	w.began = now
+	w.paused = time.Time{}
+	return nil
+}
+
+// idleShare is the part of the time of an idle transaction that is charged: a
+// connection is one of several that a slot has.
+const idleShare = 8
+
+// admit holds an organisation to its rate, after a short wait at most.
+func (p *Pool) admit(ctx context.Context, organisation string, maxWait time.Duration) error {
+	now := p.clock.Now()
+	p.mu.Lock()
+	a, err := p.account(now, organisation)
+	if err != nil {
+		p.mu.Unlock()
+		return err
+	}
+	a.arrived++
+	wait, ok := a.bucket.Reserve(now, maxWait)
+	if !ok {
+		a.refused++
+	} else {
+		a.ran++
+	}
+	limit := a.bucket.Limit()
+	epoch := p.epoch
+	p.mu.Unlock()
+	if !ok {
+		p.Recorder.Record(explainer.Event{
+			At: now, Kind: "refusal", Subject: organisation, Epoch: epoch,
+			Reason: "over the rate and burst at " + p.settings.Name,
+			Inputs: []explainer.Input{{Name: "rate", Value: number(limit.Rate)}, {Name: "burst", Value: number(limit.Burst)}},
+		})
+		return coder.New(coder.OverRate, "organisation "+organisation+" is over its rate and burst").After(wait)
+	}
+	if wait > 0 {
+		return pause(ctx, wait)
+	}
+	return nil
+}
+
+// account returns the account of an organisation. The lock is held.
+func (p *Pool) account(now time.Time, organisation string) (*account, error) {
+	if p.state != Owning && p.state != Releasing {
+		return nil, p.unavailable()
+	}
+	limit, groups, ok := p.limitOf(organisation)
+	if !ok {
+		return nil, coder.New(coder.KeyRefused, "the organisation is not known")
+	}
+	a := p.buckets[organisation]
+	if a == nil {
+		a = newAccount(now, p.ownedAt, p.settings.Name, p.epoch, limit, groups)
+		p.buckets[organisation] = a
+	}
+	a.refresh(now, limit)
+	return a, nil
+}
+
+// choose finds an instance for the work and waits for a slot there.
+func (p *Pool) choose(ctx context.Context, w *Work, deadline time.Time) error {
+	started := p.clock.Now()
+	p.mu.Lock()
+	for {
+		now := p.clock.Now()
+		if p.state != Owning {
+			p.mu.Unlock()
+			return p.unavailable()
+		}
+		if p.tracker.Lost(w.ask.Required) {
+			p.mu.Unlock()
+			return coder.New(coder.WriteLost, "a change of primary lost the last write of this session at "+w.ask.Required.String())
+		}
+		if i := p.target(now, w, now.Sub(started) < p.settings.ReplicaWait); i != nil {
+			w.instance = i
+			w.term = p.tracker.Term()
+			w.primary = p.tracker.Primary() != nil && p.tracker.Primary().ID == i.id
+			return p.enter(ctx, w, now, deadline)
+		}
+		if err := p.await(ctx, w, now, started, deadline); err != nil {
+			p.mu.Unlock()
+			return err
+		}
+	}
+}
+
+// target returns the instance that serves the work now, or nil. The lock is held.
+func (p *Pool) target(now time.Time, w *Work, patient bool) *instance {
+	if !w.ask.ReadOnly {
+		return p.writable(now)
+	}
+	need := tracker.Need{Required: w.ask.Required, MaxStaleness: p.staleness(w.ask.Organisation)}
+	if !w.ask.Unknown {
+		if i := p.nearest(p.tracker.Replicas(now, need)); i != nil {
+			return i
+		}
+		if patient {
+			return nil
+		}
+	}
+	if c, ok := p.tracker.PrimaryFor(now, need); ok && !p.paused {
+		return p.instance(c.ID)
+	}
+	return nil
+}
+
+// writable returns the primary when it may take a write. The lock is held.
+func (p *Pool) writable(now time.Time) *instance {
+	if p.paused {
+		return nil
+	}
+	if primary, ok := p.tracker.Writable(now, writableAge); ok {
+		return p.instance(primary.ID)
+	}
+	return nil
+}
+
+// nearest returns the candidate with the shortest expected time. The lock is held.
+func (p *Pool) nearest(candidates []tracker.Candidate) *instance {
+	var best *instance
+	for _, c := range candidates {
+		i := p.instance(c.ID)
+		if best == nil || i.score(assumedCost) < best.score(assumedCost) {
+			best = i
+		}
+	}
+	return best
+}
+
+// assumedCost is the service time assumed when instances are compared.
+const assumedCost = 2 * time.Millisecond
+
+// staleness returns how old the data for an organisation may be.
+func (p *Pool) staleness(organisation string) time.Duration {
+	if profile, ok := p.Configuration.Index().Profile(organisation); ok {
+		return profile.Effective.Staleness
+	}
+	return openStaleness
+}
+
+// openStaleness is how old the data for callers of open routes may be.
+const openStaleness = 5 * time.Second
+
+// maxGapWaiters bounds the requests that wait for an instance to serve them.
+const maxGapWaiters = 4096
+
+// await waits for a change of the pool. The lock is held, and released while waiting.
+func (p *Pool) await(ctx context.Context, w *Work, now, started, deadline time.Time) error {
+	if !now.Before(deadline) || p.waiting >= maxGapWaiters {
+		p.record(now, "refusal", "no instance may serve the request", p.tracker.Term())
+		return coder.New(coder.PrimaryUnavailable, "no instance of "+p.settings.Name+" may serve the request").After(retrySoon)
+	}
+	until := deadline
+	if patience := started.Add(p.settings.ReplicaWait); w.ask.ReadOnly && now.Before(patience) && patience.Before(until) {
+		until = patience
+	}
+	p.waiting++
+	changed := p.changed
+	p.mu.Unlock()
+	timer := time.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	var err error
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		err = coder.New(coder.Draining, "the request was given up")
+	}
+	p.mu.Lock()
+	p.waiting--
+	return err
+}
+
+// enter waits for a slot at the chosen instance. The lock is held, and released on return.
+func (p *Pool) enter(ctx context.Context, w *Work, now, deadline time.Time) error {
+	item, err := w.instance.enter(now, w.ask.Organisation, deadline)
+	if err == nil {
+		p.working++
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.Recorder.Record(explainer.Event{At: now, Kind: "refusal", Subject: w.ask.Organisation, Reason: err.Error(), Epoch: p.epoch})
+		return err
+	}
+	if item == nil {
+		return nil
+	}
+	return p.wait(ctx, w, item, deadline)
+}
+
+// wait waits until the queue grants or refuses a request.
+func (p *Pool) wait(ctx context.Context, w *Work, item *scheduler.Item, deadline time.Time) error {
+	granted := false
+	select {
+	case granted = <-item.Granted():
+	case <-ctx.Done():
+		granted = p.withdraw(w, item)
+		if granted {
+			p.forgo(w)
+			granted = false
+		}
+	}
+	if granted {
+		return nil
+	}
+	p.mu.Lock()
+	p.working--
+	moved := p.state != Owning
+	p.mu.Unlock()
+	if moved {
+		return p.unavailable()
+	}
+	return coder.New(coder.QueueTimeout, "no slot was free before the deadline").After(retrySoon)
+}
+
+// withdraw takes a request out of the queue and reports whether it had been granted meanwhile.
+func (p *Pool) withdraw(w *Work, item *scheduler.Item) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.instance.queue.Remove(item) {
+		return false
+	}
+	return <-item.Granted()
+}
+
+// forgo gives back a slot that is not wanted any more.
+func (p *Pool) forgo(w *Work) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.instance.running--
+	w.instance.put(now, w.ask.Organisation, nil)
+}
+
+// connect gets the connection for a granted slot.
+func (w *Work) connect(ctx context.Context) error {
+	p := w.pool
+	now := p.clock.Now()
+	p.mu.Lock()
+	w.began = now
+	w.conn = w.instance.connection(now)
+	epoch := p.epoch
+	p.mu.Unlock()
+	if w.conn != nil {
+		return nil
+	}
+	c, err := connect(ctx, w.instance.target, epoch, p.settings.ConnectTimeout)
+	if err != nil {
+		p.forgo(w)
+		p.mu.Lock()
+		p.working--
+		p.mu.Unlock()
+		return coder.New(coder.ConnectFailed, "no connection to "+w.instance.id+" of "+p.settings.Name).After(retrySoon)
+	}
+	p.mu.Lock()
+	w.conn = c
+	w.began = p.clock.Now()
+	w.instance.leased[c] = struct{}{}
+	p.mu.Unlock()
+	return nil
+}
+
+// release takes the connection of a work back.
+func (p *Pool) release(w *Work) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state != Owning {
+		w.conn.tainted = true
+	}
+	w.instance.put(now, w.ask.Organisation, w.conn)
+	w.conn = nil
+	w.open = false
+	p.working--
+}
+
+// confirm waits until a majority has confirmed the term of a commit.
+func (p *Pool) confirm(ctx context.Context, term uint64, committed time.Time) error {
+	p.mu.Lock()
+	w := p.confirms.Add(committed, term, committed, committed.Add(confirmFor), p.tracker)
+	for _, i := range p.instances {
+		i.poke()
+	}
+	p.mu.Unlock()
+	select {
+	case <-w.Done():
+	case <-ctx.Done():
+		return coder.NewUnknown(coder.NotConfirmed, "the request was given up before its commit was confirmed")
+	}
+	if w.Confirmed() {
+		return nil
+	}
+	return coder.NewUnknown(coder.NotConfirmed, "the primary may have been replaced when the write committed")
+}
--- /dev/null
+++ b/pooler/conn.go
@@ -0,0 +1,114 @@
+package pooler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/framer"
+	"github.com/marigoldgauge/marigoldgauge/prober"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+const (
+	// preparedLimit is the number of statements that a connection keeps prepared.
+	preparedLimit = 512
+	// checkAfter is the idle time after which a connection is checked before use.
+	checkAfter = 100 * time.Millisecond
+)
+
+// conn is a connection to an instance that callers share.
+type conn struct {
+	target       prober.Target
+	net          net.Conn
+	frames       *framer.Reader
+	process      uint32
+	secret       []byte
+	organisation string
+	prepared     map[string]bool
+	position     tracker.Position
+	idleSince    time.Time
+	out          []byte
+	expected     []expectation
+	at           int
+	// tainted means that the connection must not be used again.
+	tainted bool
+}
+
+// connect opens a connection in the epoch of the pool owner.
+func connect(ctx context.Context, t prober.Target, epoch uint64, timeout time.Duration) (*conn, error) {
+	pg, err := t.Connect(ctx, epoch, timeout)
+	if err != nil {
+		return nil, err
+	}
+	position, _ := tracker.ParsePosition(pg.ParameterStatus(positionParameter))
+	h, err := pg.Hijack()
+	if err != nil {
+		return nil, eris.Wrap(err, "taking over the connection")
+	}
+	return &conn{
+		target:   t,
+		net:      h.Conn,
+		frames:   framer.NewReader(h.Conn),
+		process:  h.PID,
+		secret:   h.SecretKey,
+		prepared: map[string]bool{},
+		position: position,
+	}, nil
+}
+
+// positionParameter is the parameter by which an instance reports its position.
+const positionParameter = "marigoldgauge.position"
+
+// alive checks whether an idle connection was closed by the instance.
+func (c *conn) alive(now time.Time) bool {
+	if now.Sub(c.idleSince) < checkAfter {
+		return true
+	}
+	if err := c.net.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	var one [1]byte
+	n, err := c.net.Read(one[:])
+	timeout, ok := err.(net.Error)
+	if n > 0 || !ok || !timeout.Timeout() {
+		return false
+	}
+	return c.net.SetReadDeadline(time.Time{}) == nil
+}
+
+// close ends the connection.
+func (c *conn) close() {
+	_ = c.net.Close()
+}
+
+// cancel asks the instance to interrupt the running statement.
+//
+// The connection is not used again: the request may come late.
+func (c *conn) cancel(ctx context.Context) error {
+	c.tainted = true
+	side, err := c.target.Dial(ctx, "tcp", c.target.Address.String())
+	if err != nil {
+		return eris.Wrap(err, "connecting to cancel a statement")
+	}
+	defer func() { _ = side.Close() }()
+	raw, err := (&pgproto3.CancelRequest{ProcessID: c.process, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return eris.Wrap(err, "encoding a cancel request")
+	}
+	_, err = side.Write(raw)
+	return eris.Wrap(err, "sending a cancel request")
+}
+
+// pgError decodes an error frame.
+func pgError(body []byte) *pgconn.PgError {
+	var e pgproto3.ErrorResponse
+	if err := e.Decode(body); err != nil {
+		return &pgconn.PgError{Code: "08P01", Message: "malformed error"}
+	}
+	return pgconn.ErrorResponseToPgError(&e)
+}
--- /dev/null
+++ b/pooler/pool.go
@@ -0,0 +1,225 @@
+package pooler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/allotter"
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/confirmer"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/limiter"
+	"github.com/marigoldgauge/marigoldgauge/prober"
+	"github.com/marigoldgauge/marigoldgauge/promoter"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// Configuration gives the configuration in force.
+type Configuration interface {
+	// Index returns the configuration in force.
+	Index() *governor.Index
+}
+
+// Peers are the other VMs, as a pool needs them.
+type Peers interface {
+	// Observe asks some peers whether they reach an instance.
+	Observe(ctx context.Context, group, instance string, answer func(peer string, reachable bool))
+	// Handover asks the VM that owned the pool to let go of it.
+	Handover(ctx context.Context, vm, group string) (Handover, error)
+	// Share talks to the owner of the rates that belong to a home group.
+	Share(ctx context.Context, home string, requests []ShareRequest) ([]ShareReply, error)
+	// Live reports whether a VM is on the roster.
+	Live(vm string) bool
+}
+
+// Parts are what a Pool is built from.
+type Parts struct {
+	// Settings describe the group.
+	Settings Settings
+	// VM is the VM on which the pool runs.
+	VM string
+	// Incarnation tells the processes of one VM apart.
+	Incarnation string
+	// Clock tells the present time.
+	Clock clocker.Clock
+	// Dial opens connections to the instances.
+	Dial prober.Dial
+	// Configuration is the configuration in force.
+	Configuration Configuration
+	// Peers are the other VMs.
+	Peers Peers
+	// Recorder takes the decisions.
+	Recorder *explainer.Recorder
+}
+
+// Pool is the pool of one database group on one VM, whether the VM owns it or not.
+//
+// A Pool is safe for concurrent use.
+type Pool struct {
+	Parts
+	settings Settings
+	clock    clocker.Clock
+	buffers  sync.Pool
+
+	mu        sync.Mutex
+	state     State
+	epoch     uint64
+	ownedAt   time.Time
+	heldBy    string
+	tracker   *tracker.Group
+	confirms  *confirmer.Confirmer
+	promoter  *promoter.Promoter
+	instances []*instance
+	buckets   map[string]*account
+	owners    map[string]*allotter.Owner
+	paused    bool
+	unfit     time.Time
+	waiting   int
+	working   int
+	changed   chan struct{}
+	stop      context.CancelFunc
+	stopped   chan struct{}
+}
+
+// New returns a Pool that the VM does not own.
+func New(p Parts) *Pool {
+	pool := &Pool{
+		Parts:    p,
+		settings: p.Settings,
+		clock:    p.Clock,
+		changed:  make(chan struct{}),
+		buckets:  map[string]*account{},
+		owners:   map[string]*allotter.Owner{},
+	}
+	pool.buffers.New = func() any {
+		b := make([]byte, 0, flushBytes+flushBytes/4)
+		return &b
+	}
+	pool.reset()
+	return pool
+}
+
+// reset forgets what was known of the group. The lock is held, or the pool is new.
+func (p *Pool) reset() {
+	ids := make([]string, 0, len(p.settings.Instances))
+	p.instances = nil
+	for _, i := range p.settings.Instances {
+		ids = append(ids, i.ID)
+		p.instances = append(p.instances, newInstance(p.settings, i, p.Dial))
+	}
+	p.tracker = tracker.NewGroup(ids)
+	p.confirms = confirmer.New()
+	p.promoter = promoter.New(p.settings.Promotion)
+	p.buckets = map[string]*account{}
+	p.owners = map[string]*allotter.Owner{}
+	p.paused = false
+}
+
+// Group returns the name of the group.
+func (p *Pool) Group() string {
+	return p.settings.Name
+}
+
+// State returns whether the VM owns the pool.
+func (p *Pool) State() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+// Open returns a unit of work, which starts with its first batch.
+func (p *Pool) Open(a Ask) *Work {
+	return &Work{pool: p, ask: a}
+}
+
+// instance returns an instance by name. The lock is held.
+func (p *Pool) instance(id string) *instance {
+	for _, i := range p.instances {
+		if i.id == id {
+			return i
+		}
+	}
+	return nil
+}
+
+// broadcast lets everybody who waits for the pool look again. The lock is held.
+func (p *Pool) broadcast() {
+	if p.waiting == 0 {
+		return
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// buffer returns an empty output buffer.
+func (p *Pool) buffer() []byte {
+	return (*p.buffers.Get().(*[]byte))[:0]
+}
+
+// recycle takes an output buffer back unless it has grown large.
+func (p *Pool) recycle(b []byte) {
+	if cap(b) > 4*flushBytes {
+		return
+	}
+	p.buffers.Put(&b)
+}
+
+// learn takes the position that an instance reported with an answer.
+func (p *Pool) learn(id string, asked time.Time, at tracker.Position) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.ObservePosition(id, asked, now, at)
+}
+
+// record leaves an event. The lock may be held.
+func (p *Pool) record(now time.Time, kind, reason string, epoch uint64, inputs ...explainer.Input) {
+	p.Recorder.Record(explainer.Event{At: now, Kind: kind, Subject: p.settings.Name, Reason: reason, Epoch: epoch, Inputs: inputs})
+}
+
+// run starts the duties of an owner.
+func (p *Pool) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	p.stop = cancel
+	p.stopped = make(chan struct{})
+	stopped := p.stopped
+	group, ctx := errgroup.WithContext(ctx)
+	for _, i := range p.instances {
+		group.Go(func() error { return p.probe(ctx, i) })
+	}
+	group.Go(func() error { return p.decide(ctx, group) })
+	group.Go(func() error { return p.share(ctx) })
+	outer := &errgroup.Group{}
+	outer.Go(func() error {
+		defer close(stopped)
+		return group.Wait()
+	})
+}
+
+// limitOf returns the rate and burst of an organisation and the groups that share it.
+func (p *Pool) limitOf(organisation string) (limiter.Limit, []string, bool) {
+	if organisation == governor.OpenOrganisation {
+		return openLimit, []string{p.settings.Name}, true
+	}
+	profile, ok := p.Configuration.Index().Profile(organisation)
+	if !ok {
+		return limiter.Limit{}, nil, false
+	}
+	return profile.Limit, profile.Groups, true
+}
+
+// openLimit holds the callers of open routes to a rate per group.
+var openLimit = limiter.Limit{Rate: 50, Burst: 50}
+
+// unavailable returns the refusal of a pool that this VM does not own.
+func (p *Pool) unavailable() error {
+	return coder.New(coder.OwnerMoved, "this VM does not own the pool of "+p.settings.Name).After(retrySoon)
+}
+
+// retrySoon is the wait suggested when a change is under way.
+const retrySoon = 250 * time.Millisecond
--- /dev/null
+++ b/pooler/takeover.go
@@ -0,0 +1,243 @@
+package pooler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+)
+
+const (
+	// takeoverTimeout bounds one request to an instance during a takeover.
+	takeoverTimeout = 700 * time.Millisecond
+	// handoverEvery is the time between two questions to the previous owner.
+	handoverEvery = 50 * time.Millisecond
+	// handoverFor bounds the time that the previous owner gets to finish its work.
+	handoverFor = 30 * time.Second
+)
+
+// Take makes this VM the owner of the pool.
+//
+// The previous owner, when it is alive, is asked to finish and release; a dead
+// one is shut out by a later epoch at the instances.
+func (p *Pool) Take(ctx context.Context) error {
+	p.mu.Lock()
+	if p.state != Standby {
+		p.mu.Unlock()
+		return nil
+	}
+	p.state = Taking
+	p.reset()
+	p.mu.Unlock()
+	if err := p.take(ctx); err != nil {
+		p.mu.Lock()
+		p.state = Standby
+		p.wakeAll()
+		p.mu.Unlock()
+		return err
+	}
+	return nil
+}
+
+// take performs a takeover.
+func (p *Pool) take(ctx context.Context) error {
+	previous, epoch, err := p.survey(ctx)
+	if err != nil {
+		return err
+	}
+	handover, gentle := p.ask(ctx, previous)
+	epoch++
+	if !gentle || handover.Released {
+		if err := p.fence(ctx, epoch); err != nil {
+			return err
+		}
+	}
+	now := p.clock.Now()
+	p.mu.Lock()
+	p.epoch = epoch
+	p.ownedAt = now
+	p.heldBy = p.VM
+	p.state = Owning
+	p.limit(handover)
+	p.run(ctx)
+	p.wakeAll()
+	p.mu.Unlock()
+	p.record(now, "takeover", "this VM owns the pool", epoch, explainer.Input{Name: "previous", Value: previous})
+	if gentle && !handover.Released {
+		return p.awaitRelease(ctx, previous, epoch)
+	}
+	return nil
+}
+
+// survey asks all instances for their status and returns the previous owner.
+func (p *Pool) survey(ctx context.Context) (previous string, epoch uint64, err error) {
+	var mu sync.Mutex
+	answered := 0
+	p.each(ctx, func(ctx context.Context, i *instance) {
+		asked := p.clock.Now()
+		s, err := i.controller.Status(ctx)
+		if err != nil {
+			return
+		}
+		now := p.clock.Now()
+		p.mu.Lock()
+		i.measure(now.Sub(asked))
+		p.tracker.Observe(i.id, asked, now, s)
+		p.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		answered++
+		if s.PoolEpoch >= epoch {
+			previous, epoch = s.PoolOwner, s.PoolEpoch
+		}
+	})
+	if answered <= len(p.instances)/2 {
+		return "", 0, eris.Errorf("only %d of %d instances of %s answer", answered, len(p.instances), p.settings.Name)
+	}
+	return previous, epoch, nil
+}
+
+// each calls f for all instances in parallel and waits.
+func (p *Pool) each(ctx context.Context, f func(ctx context.Context, i *instance)) {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, i := range p.instances {
+		group.Go(func() error {
+			f(ctx, i)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// ask asks a live previous owner to let go; gentle is false when there is none.
+func (p *Pool) ask(ctx context.Context, previous string) (h Handover, gentle bool) {
+	if previous == "" || previous == p.VM || !p.Peers.Live(previous) {
+		return Handover{}, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	h, err := p.Peers.Handover(bounded, previous, p.settings.Name)
+	return h, err == nil
+}
+
+// fence shuts earlier owners out at a majority of the instances.
+func (p *Pool) fence(ctx context.Context, epoch uint64) error {
+	var mu sync.Mutex
+	fenced := 0
+	p.each(ctx, func(ctx context.Context, i *instance) {
+		if err := i.controller.Fence(ctx, epoch, p.VM); err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			fenced++
+		}
+	})
+	if fenced <= len(p.instances)/2 {
+		return eris.Errorf("only %d of %d instances of %s accept pool epoch %d", fenced, len(p.instances), p.settings.Name, epoch)
+	}
+	return nil
+}
+
+// limit leaves the connections that the previous owner still uses to it. The lock is held.
+func (p *Pool) limit(h Handover) {
+	for _, i := range p.instances {
+		i.limit = p.settings.usable()
+		for _, u := range h.Uses {
+			if u.Instance == i.id {
+				i.limit = max(i.limit-u.Connections, 1)
+			}
+		}
+		i.dispatch()
+	}
+}
+
+// awaitRelease waits until the previous owner has released the pool, and shuts it out then.
+func (p *Pool) awaitRelease(ctx context.Context, previous string, epoch uint64) error {
+	deadline := p.clock.Now().Add(handoverFor)
+	for p.clock.Now().Before(deadline) {
+		if err := pause(ctx, handoverEvery); err != nil {
+			return err
+		}
+		h, gentle := p.ask(ctx, previous)
+		if !gentle || h.Released {
+			break
+		}
+		p.mu.Lock()
+		p.limit(h)
+		p.mu.Unlock()
+	}
+	err := p.fence(ctx, epoch)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit(Handover{})
+	return err
+}
+
+// Release lets go of the pool for another VM and tells what is still in use.
+func (p *Pool) Release(claimant string) Handover {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == Owning {
+		p.state = Releasing
+		p.heldBy = claimant
+		p.record(now, "handover", "released to "+claimant, p.epoch)
+		for _, i := range p.instances {
+			for _, item := range i.queue.Clear() {
+				item.Grant(false)
+			}
+			i.closeIdle()
+		}
+		p.wakeAll()
+	}
+	h := Handover{Released: p.working == 0 && p.confirms.Waiting() == 0}
+	for _, i := range p.instances {
+		if i.using > 0 {
+			h.Uses = append(h.Uses, Use{Instance: i.id, Connections: i.using})
+			h.Released = false
+		}
+	}
+	if h.Released && p.state == Releasing {
+		p.state = Standby
+		p.stop()
+	}
+	return h
+}
+
+// Busy reports whether the VM still has work in the pool.
+func (p *Pool) Busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state == Owning || p.state == Releasing
+}
+
+// HeldBy returns the VM that is known to own the pool, or "".
+func (p *Pool) HeldBy() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heldBy
+}
+
+// Observe reports whether this VM reaches an instance, for a promoter elsewhere.
+func (p *Pool) Observe(ctx context.Context, id string) (reachable bool, term uint64) {
+	for _, i := range p.settings.Instances {
+		if i.ID != id {
+			continue
+		}
+		conn, err := p.settings.target(i, p.Dial).Connect(ctx, 0, observeTimeout)
+		if err != nil {
+			return false, 0
+		}
+		_ = conn.Close(ctx)
+		return true, 0
+	}
+	return false, 0
+}
+
+// observeTimeout bounds the look of an observer.
+const observeTimeout = 120 * time.Millisecond
--- /dev/null
+++ b/pooler/work.go
@@ -0,0 +1,175 @@
+package pooler
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+)
+
+// Work is one unit of work at the owner of the pool: one batch, or the batches
+// of one transaction. It is used by one goroutine; Cancel by any.
+type Work struct {
+	pool     *Pool
+	ask      Ask
+	instance *instance
+	conn     *conn
+	term     uint64
+	primary  bool
+	began    time.Time
+	paused   time.Time
+	// open reports that a transaction is open.
+	open bool
+}
+
+// Exchange runs one batch and passes its answer on to the sink.
+//
+// An error tells by its outcome whether the batch ran. After an answer outside
+// a transaction the connection is free again.
+func (w *Work) Exchange(ctx context.Context, b *Batch, sink Sink) (Result, error) {
+	if err := w.start(ctx, b); err != nil {
+		return Result{}, err
+	}
+	a := &answer{conn: w.conn, sink: sink, hold: b.Writes || w.confirms(), out: w.pool.buffer(), asked: w.began, flushes: b.flushes()}
+	defer func() { w.pool.recycle(a.out) }()
+	if err := w.converse(b, a); err != nil {
+		w.abandon()
+		return Result{}, broken(b, a, w.ask, err)
+	}
+	w.finish()
+	return w.conclude(ctx, b, a)
+}
+
+// confirms reports whether reads need a confirmation: they define the session's position.
+func (w *Work) confirms() bool {
+	return w.ask.Unknown && w.primary
+}
+
+// converse sends the batch and receives its answer.
+func (w *Work) converse(b *Batch, a *answer) error {
+	if t := w.pool.settings.StatementTimeout; t > 0 {
+		if err := w.conn.net.SetReadDeadline(time.Now().Add(t)); err != nil {
+			return err
+		}
+	}
+	group, err := w.conn.send(w.ask.Organisation, b)
+	if err != nil {
+		return err
+	}
+	if err := a.receive(); err != nil {
+		w.conn.close()
+		_ = group.Wait()
+		return err
+	}
+	return group.Wait()
+}
+
+// broken returns the error of an exchange that broke off.
+func broken(b *Batch, a *answer, ask Ask, err error) error {
+	switch {
+	case !ask.ReadOnly || b.Writes:
+		return coder.NewUnknown(coder.OutcomeUnknown, "the answer of the endpoint broke off: "+err.Error())
+	case a.passed:
+		return coder.NewUnknown(coder.AnswerBroken, "the answer of the endpoint broke off: "+err.Error())
+	default:
+		return coder.New(coder.ConnectFailed, "the endpoint broke off before it answered a read")
+	}
+}
+
+// conclude decides what the answer means and lets go of the connection outside a transaction.
+func (w *Work) conclude(ctx context.Context, b *Batch, a *answer) (Result, error) {
+	r := Result{
+		TransactionStatus: a.status,
+		Position:          w.conn.position,
+		Primary:           w.primary,
+		Failed:            a.failure != "",
+	}
+	w.pool.learn(w.instance.id, a.asked, r.Position)
+	idle := a.status == 'I'
+	w.open = !idle
+	if idle {
+		w.Close()
+	}
+	if refusedByReplica(a, w.primary) {
+		return Result{}, coder.New(coder.ReplicaRefused, "the replica refused a statement that writes")
+	}
+	if idle && w.primary && a.committed && a.hold {
+		if err := w.pool.confirm(ctx, w.term, w.pool.clock.Now()); err != nil {
+			return Result{}, err
+		}
+		r.Wrote = b.Writes && !r.Failed
+		r.Position.Term = max(r.Position.Term, 1)
+	}
+	if err := a.release(); err != nil {
+		return r, coder.NewUnknown(coder.OutcomeUnknown, "the caller went away")
+	}
+	return r, nil
+}
+
+// refusedByReplica reports whether a replica turned out unable to run a
+// statement that was taken for a read; nothing ran.
+func refusedByReplica(a *answer, primary bool) bool {
+	return !primary && a.failure == "25006" && !a.passed && a.status == 'I'
+}
+
+// Close lets go of the connection; an open transaction is rolled back.
+func (w *Work) Close() {
+	if w.conn == nil {
+		return
+	}
+	if w.open {
+		w.rollback()
+	}
+	w.pool.release(w)
+}
+
+// rollback ends a transaction that its caller left open.
+func (w *Work) rollback() {
+	if err := w.conn.net.SetReadDeadline(time.Now().Add(rollbackFor)); err != nil {
+		w.conn.tainted = true
+		return
+	}
+	b := &Batch{Steps: []Step{{Kind: Query, Raw: encode(nil, &pgproto3.Query{String: "rollback"})}}}
+	a := &answer{conn: w.conn, sink: discard{}}
+	if err := w.converse(b, a); err != nil || a.status != 'I' {
+		w.conn.tainted = true
+	}
+}
+
+// rollbackFor bounds the rollback of an abandoned transaction.
+const rollbackFor = 2 * time.Second
+
+// discard is a Sink that drops everything.
+type discard struct{}
+
+// Frames drops the frames.
+func (discard) Frames([]byte) error { return nil }
+
+// abandon gives up a connection in an unknown state.
+func (w *Work) abandon() {
+	w.conn.tainted = true
+	w.finish()
+	w.pool.release(w)
+}
+
+// finish gives the slot back while the connection is kept.
+func (w *Work) finish() {
+	now := w.pool.clock.Now()
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.instance.finish(now, w.ask.Organisation, now.Sub(w.began))
+	w.paused = now
+}
+
+// Cancel interrupts the running statement.
+func (w *Work) Cancel(ctx context.Context) error {
+	w.pool.mu.Lock()
+	c := w.conn
+	w.pool.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	return c.cancel(ctx)
+}
--- /dev/null
+++ b/promoter/view.go
@@ -0,0 +1,80 @@
+package promoter
+
+import (
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// View is what a Promoter sees of the group at one time.
+type View struct {
+	// Instances are the instances in a fixed order.
+	Instances []InstanceView
+}
+
+// InstanceView is one instance of a View.
+type InstanceView struct {
+	// ID names the instance.
+	ID string
+	// Known reports whether the instance ever answered.
+	Known bool
+	// Heard is the time of its last answer.
+	Heard time.Time
+	// Distance is its round trip time.
+	Distance time.Duration
+	// Status is its last status.
+	Status tracker.Status
+}
+
+// leads reports whether the instance leads the latest term that it knows.
+func (i InstanceView) leads() bool {
+	return i.Known && i.Status.Primary && i.Status.Term == i.Status.History.Term()
+}
+
+// primary returns the leading instance of the highest term.
+func (v View) primary() (InstanceView, bool) {
+	var best InstanceView
+	found := false
+	for _, i := range v.Instances {
+		if i.leads() && (!found || i.Status.Term > best.Status.Term) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
+// maxTerm returns the highest term of any instance.
+func (v View) maxTerm() uint64 {
+	var term uint64
+	for _, i := range v.Instances {
+		term = max(term, i.Status.Term)
+	}
+	return term
+}
+
+// majority returns the number of instances that decides a term.
+func (v View) majority() int {
+	return len(v.Instances)/2 + 1
+}
+
+// raised counts the instances that follow a term later than term.
+func (v View) raised(term uint64) int {
+	n := 0
+	for _, i := range v.Instances {
+		if i.Status.Term > term {
+			n++
+		}
+	}
+	return n
+}
+
+// heardSince counts the instances that answered within d.
+func (v View) heardSince(now time.Time, d time.Duration) int {
+	n := 0
+	for _, i := range v.Instances {
+		if i.Known && now.Sub(i.Heard) < d {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/runner/constructors.go
@@ -0,0 +1,196 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/marigoldgauge/marigoldgauge/acceptor"
+	"github.com/marigoldgauge/marigoldgauge/authenticator"
+	"github.com/marigoldgauge/marigoldgauge/classifier"
+	"github.com/marigoldgauge/marigoldgauge/dumper"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/forwarder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/loader"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/promoter"
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+	"github.com/marigoldgauge/marigoldgauge/signer"
+)
+
+// constructors lists the parts of a process in the order in which they build on each other.
+func constructors(s loader.Settings, e Environment) []any {
+	return []any{
+		func() loader.Settings { return s },
+		func() Environment { return e },
+		func() *state { return &state{} },
+		NewSecurity,
+		newStore,
+		governor.NewLog,
+		newRecorder,
+		newCaller,
+		newRegistrar,
+		newManager,
+		newRouter,
+		newAcceptor,
+		newPeerServer,
+		newDumper,
+	}
+}
+
+// newStore builds the client of the platform's store.
+func newStore(s loader.Settings, e Environment) *keeper.Client {
+	return keeper.New(s.Platform.URL, e.Store)
+}
+
+// newRecorder builds the recorder of decisions.
+func newRecorder(e Environment) *explainer.Recorder {
+	return explainer.New(e.Log)
+}
+
+// newCaller builds the client of the other VMs.
+func newCaller(e Environment, security Security) *forwarder.Caller {
+	return forwarder.NewCaller(security.dialPeers(e.Dial))
+}
+
+// newRegistrar builds the part that takes part in the cell.
+func newRegistrar(s loader.Settings, e Environment, store *keeper.Client, c *forwarder.Caller, l *governor.Log, r *explainer.Recorder) *registrar.Registrar {
+	parts := registrar.Parts{
+		Self: registrar.Member{
+			ID:               s.VM.ID,
+			Address:          s.Listen.Peers,
+			AvailabilityZone: s.VM.AvailabilityZone,
+			Incarnation:      e.Incarnation,
+		},
+		Store:    store,
+		Caller:   c,
+		Log:      l,
+		Clock:    e.Clock,
+		Recorder: r,
+	}
+	for _, seed := range s.Seeds {
+		parts.Seeds = append(parts.Seeds, registrar.Member{ID: seed.ID, Address: seed.Address})
+	}
+	return registrar.New(parts)
+}
+
+// newManager builds the pools and the part that takes them over.
+func newManager(s loader.Settings, e Environment, c *forwarder.Caller, reg *registrar.Registrar, l *governor.Log, r *explainer.Recorder) *pooler.Manager {
+	var manager *pooler.Manager
+	peers := forwarder.NewPeers(s.VM.ID, c, reg, func(group string) *pooler.Pool { return manager.Pool(group) })
+	var pools []*pooler.Pool
+	for _, g := range s.Groups {
+		pools = append(pools, pooler.New(pooler.Parts{
+			Settings:      poolSettings(s, g),
+			VM:            s.VM.ID,
+			Incarnation:   incarnation(e),
+			Clock:         e.Clock,
+			Dial:          e.Dial,
+			Configuration: l,
+			Peers:         peers,
+			Recorder:      r,
+		}))
+	}
+	manager = pooler.NewManager(s.VM.ID, reg, e.Clock, e.Incarnation, pools)
+	return manager
+}
+
+// poolSettings returns the settings of one pool.
+func poolSettings(s loader.Settings, g loader.Group) pooler.Settings {
+	out := pooler.Settings{
+		Name:             g.Name,
+		Slots:            g.Slots,
+		Connections:      g.Connections,
+		User:             s.Endpoints.User,
+		Password:         s.Endpoints.Password,
+		Database:         s.Endpoints.Database,
+		ProbeInterval:    s.Endpoints.ProbeInterval,
+		ConnectTimeout:   s.Endpoints.ConnectTimeout,
+		StatementTimeout: s.Endpoints.StatementTimeout,
+		RateWait:         s.Endpoints.RateWait,
+		ReplicaWait:      s.Endpoints.ReplicaWait,
+		QueueLength:      s.Endpoints.QueueLength,
+		Promotion:        promoter.DefaultConfig(),
+	}
+	for _, i := range g.Instances {
+		out.Instances = append(out.Instances, pooler.Instance{ID: i.ID, Address: i.Address})
+	}
+	return out
+}
+
+// newRouter builds the part that finds the owner of a pool.
+func newRouter(s loader.Settings, e Environment, c *forwarder.Caller, reg *registrar.Registrar, m *pooler.Manager) *forwarder.Router {
+	return forwarder.NewRouter(s.VM.ID, c, reg, m.Pool, e.Clock)
+}
+
+// opener lets the acceptor open units of work at the router.
+type opener struct {
+	router *forwarder.Router
+}
+
+// Open returns a unit of work.
+func (o opener) Open(a pooler.Ask) acceptor.Work {
+	return o.router.Open(a)
+}
+
+// canceller passes cancel requests on to the VM that issued the process number.
+type canceller struct {
+	caller    *forwarder.Caller
+	registrar *registrar.Registrar
+	self      string
+}
+
+// ForwardCancel passes a cancel request on.
+func (c canceller) ForwardCancel(ctx context.Context, process, secret uint32) {
+	for _, m := range c.registrar.Roster().Members {
+		if m.ID != c.self && acceptor.OfVM(process, m.ID) {
+			c.caller.Cancel(ctx, m.Address, process, secret)
+		}
+	}
+}
+
+// newAcceptor builds the part that serves callers.
+func newAcceptor(s loader.Settings, e Environment, security Security, l *governor.Log, router *forwarder.Router, r *explainer.Recorder, c *forwarder.Caller, reg *registrar.Registrar) *acceptor.Acceptor {
+	var secrets []signer.Secret
+	for _, secret := range s.Secrets.Sessions {
+		secrets = append(secrets, signer.Secret{ID: secret.ID, Value: []byte(secret.Value)})
+	}
+	return acceptor.New(acceptor.Parts{
+		Settings: acceptor.Settings{
+			VM:                     s.VM.ID,
+			TLS:                    security.Callers,
+			RequireTLS:             s.Callers.RequireTLS,
+			StartupTimeout:         s.Callers.StartupTimeout,
+			QueueTimeout:           s.Callers.QueueTimeout,
+			IdleTransactionTimeout: s.Callers.IdleTransactionTimeout,
+			WriteTimeout:           s.Callers.WriteTimeout,
+			WithdrawGrace:          s.Callers.WithdrawGrace,
+			MaxMessageBytes:        s.Callers.MaxMessageBytes,
+			MaxCallers:             s.Callers.MaxConnections,
+		},
+		Clock:         e.Clock,
+		Configuration: l,
+		Opener:        opener{router},
+		Classifier:    classifier.New(),
+		Authenticator: authenticator.New([]byte(s.Secrets.Decoy)),
+		Signer:        signer.New(secrets),
+		Recorder:      r,
+		Cancels:       canceller{caller: c, registrar: reg, self: s.VM.ID},
+	})
+}
+
+// newPeerServer builds the part that serves the other VMs.
+func newPeerServer(m *pooler.Manager, reg *registrar.Registrar, a *acceptor.Acceptor) *forwarder.Server {
+	return forwarder.NewServer(m.Pool, reg, a)
+}
+
+// newDumper builds the part that serves operators.
+func newDumper(in dumperParts) *dumper.Server {
+	return dumper.New(func() dumper.Dump {
+		p := Process{
+			Settings: in.Settings, Environment: in.Environment, Store: in.Store, Log: in.Log,
+			Registrar: in.Registrar, Manager: in.Manager, Acceptor: in.Acceptor, State: in.State,
+		}
+		return p.dump()
+	}, in.Recorder)
+}
--- /dev/null
+++ b/runner/dumping.go
@@ -0,0 +1,28 @@
+package runner
+
+import (
+	"go.uber.org/dig"
+
+	"github.com/marigoldgauge/marigoldgauge/acceptor"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/loader"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+)
+
+// dumperParts are what a state dump is taken from.
+type dumperParts struct {
+	dig.In
+
+	Settings    loader.Settings
+	Environment Environment
+	Store       *keeper.Client
+	Log         *governor.Log
+	Recorder    *explainer.Recorder
+	Registrar   *registrar.Registrar
+	Manager     *pooler.Manager
+	Acceptor    *acceptor.Acceptor
+	State       *state
+}
--- /dev/null
+++ b/stager/deployment.go
@@ -0,0 +1,145 @@
+package stager
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/governor"
+)
+
+// Deployment describes one of the users: its places, databases and organisations.
+type Deployment struct {
+	// Name names the deployment.
+	Name string
+	// AvailabilityZones are the availability zones, each in a region of its own.
+	AvailabilityZones []string
+	// BetweenZones is the latency one way between availability zones of a region.
+	BetweenZones time.Duration
+	// BetweenRegions is the latency one way between regions.
+	BetweenRegions time.Duration
+	// ToCallers is the latency one way to callers.
+	ToCallers time.Duration
+	// Regions tells for each availability zone its region.
+	Regions []string
+	// VMs is the number of VMs.
+	VMs int
+	// Groups are the names of the database groups.
+	Groups []string
+	// Slots is the number of statements that an instance runs at once.
+	Slots int
+	// Connections is the number of connections that an instance takes.
+	Connections int
+	// ConnectDelay is the time that a new connection takes.
+	ConnectDelay time.Duration
+	// ServiceTime is the time that a statement takes.
+	ServiceTime time.Duration
+	// Lag is the time by which replicas stay behind.
+	Lag time.Duration
+	// Organisations are the organisations with their rates.
+	Organisations []Profile
+}
+
+// Profile is an organisation of a deployment.
+type Profile struct {
+	// Name names the organisation.
+	Name string
+	// Rate is its rate in requests a second.
+	Rate float64
+	// Burst is its burst in requests.
+	Burst float64
+	// Databases are the databases that it uses.
+	Databases []string
+}
+
+// Campusweg returns the deployment of the open-day registration.
+func Campusweg() Deployment {
+	return Deployment{
+		Name:              "campusweg",
+		AvailabilityZones: []string{"zuerich-a", "bern-a", "lausanne-a"},
+		Regions:           []string{"zuerich", "bern", "lausanne"},
+		BetweenZones:      1500 * time.Microsecond,
+		BetweenRegions:    8 * time.Millisecond,
+		ToCallers:         3 * time.Millisecond,
+		VMs:               9,
+		Groups:            []string{"members-1", "members-2", "members-3"},
+		Slots:             3,
+		Connections:       20,
+		ConnectDelay:      10 * time.Millisecond,
+		ServiceTime:       2 * time.Millisecond,
+		Lag:               200 * time.Millisecond,
+		Organisations:     profiles("university", 8, "members"),
+	}
+}
+
+// Lepidlo returns the deployment of the distributors' ordering.
+func Lepidlo() Deployment {
+	return Deployment{
+		Name:              "lepidlo",
+		AvailabilityZones: []string{"praha-a", "brno-a", "ostrava-a"},
+		Regions:           []string{"praha", "brno", "ostrava"},
+		BetweenZones:      500 * time.Microsecond,
+		BetweenRegions:    8 * time.Millisecond,
+		ToCallers:         time.Millisecond,
+		VMs:               9,
+		Groups:            []string{"orders-1", "orders-2", "orders-3"},
+		Slots:             3,
+		Connections:       45,
+		ConnectDelay:      10 * time.Millisecond,
+		ServiceTime:       2 * time.Millisecond,
+		Lag:               200 * time.Millisecond,
+		Organisations:     profiles("distributor", 8, "orders"),
+	}
+}
+
+// ByName returns a deployment by name.
+func ByName(name string) (Deployment, bool) {
+	switch name {
+	case "campusweg":
+		return Campusweg(), true
+	case "lepidlo":
+		return Lepidlo(), true
+	default:
+		return Deployment{}, false
+	}
+}
+
+// profiles returns n organisations: two large ones that use two databases each,
+// and small ones that use one.
+func profiles(kind string, n int, database string) []Profile {
+	out := make([]Profile, 0, n)
+	for i := range n {
+		p := Profile{
+			Name:      fmt.Sprintf("%s-%d", kind, i+1),
+			Rate:      60,
+			Burst:     60,
+			Databases: []string{fmt.Sprintf("%s-%d", database, i%3+1)},
+		}
+		if i < 2 {
+			p.Rate, p.Burst = 150, 150
+			p.Databases = append(p.Databases, fmt.Sprintf("%s-%d", database, (i+1)%3+1))
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// Edits returns the first change of the configuration: a template, the routes
+// and the profiles.
+func (d Deployment) Edits() []governor.Edit {
+	edits := []governor.Edit{{Kind: governor.PutTemplate, Object: "standard", Template: &governor.Template{
+		Name:      "standard",
+		Rate:      governor.NumberBound{Default: 50, Min: 1, Max: 2000},
+		Burst:     governor.NumberBound{Default: 50, Min: 1, Max: 4000},
+		Staleness: governor.DurationBound{Default: governor.Duration{Duration: 5 * time.Second}, Min: governor.Duration{Duration: time.Second}, Max: governor.Duration{Duration: time.Minute}},
+	}}}
+	for _, g := range d.Groups {
+		edits = append(edits, governor.Edit{Kind: governor.PutRoute, Route: &governor.Route{Database: g, Group: g, Capacity: 1000}})
+	}
+	for _, p := range d.Organisations {
+		rate, burst := p.Rate, p.Burst
+		edits = append(edits, governor.Edit{Kind: governor.PutOrganisation, Object: p.Name, Organisation: &governor.Organisation{
+			Name: p.Name, Template: "standard", Rate: &rate, Burst: &burst, Databases: p.Databases,
+		}})
+	}
+	return edits
+}
--- /dev/null
+++ b/stager/path_test.go
@@ -0,0 +1,71 @@
+package stager_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/stager"
+)
+
+// start starts a fleet and waits until it serves.
+func start(t *testing.T, d stager.Deployment, o stager.Options) *stager.Fleet {
+	t.Helper()
+	g := NewWithT(t)
+	f := stager.New(d, o)
+	g.Expect(f.Start(t.Context())).To(Succeed())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	g.Expect(f.Ready(ctx, 1)).To(Succeed())
+	return f
+}
+
+// stop stops a fleet and lets what was broken off come to its end.
+func stop(f *stager.Fleet) {
+	f.Stop()
+	time.Sleep(time.Minute)
+}
+
+// connect connects a stock client to a VM.
+func connect(ctx context.Context, f *stager.Fleet, vm, organisation, database, token string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%d user=%s password=%s dbname=%s sslmode=disable",
+		f.VM(vm).Callers.Addr(), f.VM(vm).Callers.Port(), stager.KeyID(organisation), f.Keys[organisation], database))
+	if err != nil {
+		return nil, err
+	}
+	c.DialFunc = f.Network.Dialer(stager.CallerPlace)
+	if token != "" {
+		c.RuntimeParams["marigoldgauge.session"] = token
+	}
+	return pgx.ConnectConfig(ctx, c)
+}
+
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := start(t, stager.Campusweg(), stager.Options{})
+		defer stop(f)
+		g.Expect(f.Groups[0].Exec("create table seats (id int, body text)")).To(Succeed())
+		ctx := t.Context()
+
+		c, err := connect(ctx, f, "vm-1", "university-1", "members-1", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = c.Exec(ctx, "insert into seats (id, body) values ($1, $2)", 7, "tour")
+		g.Expect(err).NotTo(HaveOccurred())
+		token := c.PgConn().ParameterStatus("marigoldgauge.session")
+		g.Expect(token).NotTo(BeEmpty())
+		g.Expect(c.Close(ctx)).To(Succeed())
+
+		c, err = connect(ctx, f, "vm-2", "university-1", "members-1", token)
+		g.Expect(err).NotTo(HaveOccurred())
+		var body string
+		g.Expect(c.QueryRow(ctx, "select body from seats where id = $1", 7).Scan(&body)).To(Succeed())
+		g.Expect(body).To(Equal("tour"))
+		g.Expect(c.Close(ctx)).To(Succeed())
+	})
+}
--- /dev/null
+++ b/tracker/group.go
@@ -0,0 +1,257 @@
+package tracker
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	// reachableFor is the time for which an answer vouches that an instance is reachable.
+	reachableFor = time.Second
+	// maxSamples bounds the remembered positions of the primary.
+	maxSamples = 512
+	// sampleSpacing is the shortest time between two remembered positions.
+	sampleSpacing = 20 * time.Millisecond
+)
+
+// sample is a position of the primary at a time.
+type sample struct {
+	at     time.Time
+	offset uint64
+}
+
+// Group follows the instances of one database group.
+//
+// A Group is not safe for concurrent use.
+type Group struct {
+	instances []*Instance
+	primary   string
+	samples   []sample
+}
+
+// NewGroup returns a Group of the named instances.
+func NewGroup(ids []string) *Group {
+	g := &Group{}
+	for _, id := range ids {
+		g.instances = append(g.instances, &Instance{ID: id})
+	}
+	return g
+}
+
+// Instance returns what is known of an instance, or nil when it is not of the group.
+func (g *Group) Instance(id string) *Instance {
+	for _, i := range g.instances {
+		if i.ID == id {
+			return i
+		}
+	}
+	return nil
+}
+
+// Instances returns the instances in the order of the settings.
+func (g *Group) Instances() []*Instance {
+	return g.instances
+}
+
+// Majority returns the number of instances that decides a term.
+func (g *Group) Majority() int {
+	return len(g.instances)/2 + 1
+}
+
+// Observe records a status that was asked for at asked and came at heard.
+func (g *Group) Observe(id string, asked, heard time.Time, s Status) {
+	i := g.Instance(id)
+	if i == nil {
+		return
+	}
+	i.Known = true
+	i.Heard = heard
+	if asked.Before(i.Asked) {
+		return
+	}
+	i.Asked = asked
+	i.Status = s
+	g.choosePrimary()
+	if id == g.primary {
+		g.sample(asked, s.Applied.Offset)
+	}
+}
+
+// ObservePosition records that an instance had applied p in answer to a
+// request sent at asked.
+func (g *Group) ObservePosition(id string, asked, heard time.Time, p Position) {
+	i := g.Instance(id)
+	if i == nil || !i.Known {
+		return
+	}
+	i.Heard = heard
+	if i.Status.Applied.Before(p) && p.Term == i.Status.Applied.Term {
+		i.Status.Applied = p
+	}
+	if id == g.primary && p.Term == i.Status.History.Term() {
+		g.sample(asked, p.Offset)
+	}
+}
+
+// choosePrimary takes the writing instance of the highest log term as the primary.
+func (g *Group) choosePrimary() {
+	best := ""
+	var bestTerm uint64
+	for _, i := range g.instances {
+		if !i.Known || !i.Status.Primary {
+			continue
+		}
+		if term := i.Status.History.Term(); best == "" || term > bestTerm {
+			best, bestTerm = i.ID, term
+		}
+	}
+	if best != g.primary {
+		g.primary = best
+		g.samples = g.samples[:0]
+	}
+}
+
+// sample remembers a position of the primary.
+func (g *Group) sample(at time.Time, offset uint64) {
+	n := len(g.samples)
+	if n > 0 && at.Sub(g.samples[n-1].at) < sampleSpacing {
+		return
+	}
+	if n == maxSamples {
+		g.samples = slices.Delete(g.samples, 0, n/2)
+	}
+	g.samples = append(g.samples, sample{at: at, offset: offset})
+}
+
+// Primary returns the instance that takes writes, or nil when none is known.
+func (g *Group) Primary() *Instance {
+	return g.Instance(g.primary)
+}
+
+// Term returns the term of the primary's log, or zero without a primary.
+func (g *Group) Term() uint64 {
+	if p := g.Primary(); p != nil {
+		return p.Status.History.Term()
+	}
+	return 0
+}
+
+// MaxTerm returns the highest term that any instance has promised to follow.
+func (g *Group) MaxTerm() uint64 {
+	var term uint64
+	for _, i := range g.instances {
+		term = max(term, i.Status.Term)
+	}
+	return term
+}
+
+// ConfirmedAt returns the latest time at which a majority still followed term.
+//
+// The answer of an instance vouches for the time at which it was asked.
+func (g *Group) ConfirmedAt(term uint64) time.Time {
+	var asked []time.Time
+	for _, i := range g.instances {
+		if i.Known && i.Status.Term == term {
+			asked = append(asked, i.Asked)
+		}
+	}
+	if len(asked) < g.Majority() {
+		return time.Time{}
+	}
+	sort.Slice(asked, func(a, b int) bool { return asked[a].After(asked[b]) })
+	return asked[g.Majority()-1]
+}
+
+// Deposed reports whether a majority has promised to follow a later term.
+func (g *Group) Deposed(term uint64) bool {
+	later := 0
+	for _, i := range g.instances {
+		if i.Status.Term > term {
+			later++
+		}
+	}
+	return later >= g.Majority()
+}
+
+// Lost reports whether a change of primary dropped the entry at p.
+func (g *Group) Lost(p Position) bool {
+	primary := g.Primary()
+	return primary != nil && !primary.Status.History.Survives(p)
+}
+
+// freshAt returns the latest time at which an instance at offset held all
+// that the confirmed primary held.
+func (g *Group) freshAt(offset uint64, confirmed time.Time) (time.Time, bool) {
+	for i := len(g.samples) - 1; i >= 0; i-- {
+		s := g.samples[i]
+		if s.offset <= offset && !s.at.After(confirmed) {
+			return s.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Replicas returns the replicas that satisfy a need, the freshest first.
+func (g *Group) Replicas(now time.Time, need Need) []Candidate {
+	primary := g.Primary()
+	if primary == nil || !primary.holds(need.Required) {
+		return nil
+	}
+	confirmed := g.ConfirmedAt(primary.Status.History.Term())
+	var out []Candidate
+	for _, i := range g.instances {
+		if c, ok := g.replica(now, i, primary, confirmed, need); ok {
+			out = append(out, c)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].Staleness < out[b].Staleness })
+	return out
+}
+
+// replica decides whether one instance satisfies a need as a replica.
+func (g *Group) replica(now time.Time, i, primary *Instance, confirmed time.Time, need Need) (Candidate, bool) {
+	if i.ID == primary.ID || i.Status.Primary || i.Status.Leaving || !i.reachable(now) {
+		return Candidate{}, false
+	}
+	applied := i.Status.Applied
+	if !primary.Status.History.Survives(applied) || applied.Offset < need.Required.Offset {
+		return Candidate{}, false
+	}
+	fresh, ok := g.freshAt(applied.Offset, confirmed)
+	if !ok || now.Sub(fresh) > need.MaxStaleness {
+		return Candidate{}, false
+	}
+	return Candidate{ID: i.ID, Staleness: now.Sub(fresh)}, true
+}
+
+// PrimaryFor returns the primary as a candidate for a read when a majority
+// confirmed its term within the allowed staleness.
+func (g *Group) PrimaryFor(now time.Time, need Need) (Candidate, bool) {
+	primary := g.Primary()
+	if primary == nil || !primary.reachable(now) || !primary.holds(need.Required) {
+		return Candidate{}, false
+	}
+	age := now.Sub(g.ConfirmedAt(primary.Status.History.Term()))
+	if age > need.MaxStaleness {
+		return Candidate{}, false
+	}
+	return Candidate{ID: primary.ID, Primary: true, Staleness: age}, true
+}
+
+// Writable returns the primary when it may take a write: it answered lately and
+// a majority confirmed its term within maxAge.
+func (g *Group) Writable(now time.Time, maxAge time.Duration) (*Instance, bool) {
+	primary := g.Primary()
+	if primary == nil || !primary.reachable(now) {
+		return nil, false
+	}
+	term := primary.Status.History.Term()
+	if primary.Status.Term != term {
+		return nil, false
+	}
+	if now.Sub(g.ConfirmedAt(term)) > maxAge {
+		return nil, false
+	}
+	return primary, true
+}
--- /dev/null
+++ b/wirefaker/listener.go
@@ -0,0 +1,43 @@
+package wirefaker
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// listener accepts the connections to one address.
+type listener struct {
+	network  *Network
+	place    string
+	addr     netip.AddrPort
+	accepted chan net.Conn
+	once     sync.Once
+	done     chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close stops the listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.addr)
+		l.network.mu.Unlock()
+		close(l.done)
+	})
+	return nil
+}
+
+// Addr returns the address.
+func (l *listener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(l.addr)
+}
