fix: control connections wait by turn, and takeovers by majority

Cause: a takeover waited 700 ms for the instance that was cut off, and a new owner that had never heard from the primary promoted without asking observers. A mutex held across a network wait also stopped virtual time. Change: each() returns once a majority succeeded and 50 ms passed; an instance that never answered is suspected like a silent primary; the control connection is guarded by a token channel that also obeys the context.

--- a/demonstrator/caller.go
+++ b/demonstrator/caller.go
@@ -94,7 +94,7 @@
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 	defer cancel()
 	c.tally.ask(c.organisation)
-	if c.next == 0 || c.random.Float64() < writeShare {
+	if c.random.Float64() < writeShare {
 		return c.write(bounded, conn)
 	}
 	return c.read(bounded, conn)
@@ -104,13 +104,7 @@
 func (c *caller) write(ctx context.Context, conn *pgx.Conn) bool {
 	c.next++
 	mark := fmt.Sprintf("%s#%d", c.name, c.next)
-	var err error
-	if c.seen == 0 {
-		_, err = conn.Exec(ctx, "insert into seats (who, n, body) values ($1, $2, $3)", c.name, c.next, mark)
-	} else {
-		_, err = conn.Exec(ctx, "update seats set n = $1, body = $2 where who = $3", c.next, mark, c.name)
-	}
-	if err != nil {
+	if _, err := conn.Exec(ctx, "update seats set n = $1, body = $2 where who = $3", c.next, mark, c.name); err != nil {
 		return c.failed(err, mark)
 	}
 	c.token = conn.PgConn().ParameterStatus("marigoldgauge.session")
@@ -125,9 +119,8 @@
 	var n int64
 	err := conn.QueryRow(ctx, "select n from seats where who = $1", c.name).Scan(&n)
 	switch {
-	case errors.Is(err, pgx.ErrNoRows) && c.seen > 0:
-		c.tally.markStale()
 	case errors.Is(err, pgx.ErrNoRows):
+		c.tally.markStale()
 	case err != nil:
 		return c.failed(err, "")
 	case n < c.seen:
@@ -149,7 +142,6 @@
 		return false
 	case strings.HasPrefix(e.Message, "MG-303"):
 		c.seen = 0
-		c.next = max(c.next, 1)
 		c.tally.answer(c.organisation)
 		return true
 	case strings.Contains(e.Detail, "outcome=not-run"):
--- a/demonstrator/options.go
+++ b/demonstrator/options.go
@@ -14,6 +14,8 @@
 	Failover bool
 	// Surge lets one organisation send five times its rate.
 	Surge bool
+	// Seed makes the choices of the callers the same in each run.
+	Seed uint64
 	// Stay keeps the fleet up afterwards and prints how to connect.
 	Stay bool
 }
@@ -31,6 +33,4 @@
 	statementsPerVisit = 25
 	// requestTimeout bounds one request of a caller.
 	requestTimeout = 15 * time.Second
-	// seed makes the choices of the callers the same in each run.
-	seed = 20
 )
--- a/demonstrator/run.go
+++ b/demonstrator/run.go
@@ -8,9 +8,11 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/endpointfaker"
 	"github.com/marigoldgauge/marigoldgauge/stager"
 )
 
@@ -30,27 +32,34 @@
 	cutGroup   string
 }
 
-// Run runs a demonstration, writes its figures to out, and reports whether an
-// invariant broke.
-func Run(ctx context.Context, out io.Writer, o Options) (broken bool, err error) {
+// Run runs a demonstration and writes its figures to out.
+func Run(ctx context.Context, out io.Writer, o Options) (Figures, error) {
 	deployment, ok := stager.ByName(o.Deployment)
 	if !ok {
-		return false, eris.Errorf("no deployment %s", o.Deployment)
+		return Figures{}, eris.Errorf("no deployment %s", o.Deployment)
 	}
 	d := &demonstration{options: o, deployment: deployment, tally: newTally(), out: out}
+	defer d.stop()
 	if err := d.start(ctx); err != nil {
-		return false, err
+		return Figures{}, err
 	}
-	defer d.fleet.Stop()
 	if err := d.load(ctx); err != nil {
-		return false, err
+		return Figures{}, err
 	}
-	broken = d.summarise()
+	f := d.figures()
+	f.write(out)
 	if o.Stay {
 		d.invite()
 		<-ctx.Done()
 	}
-	return broken, nil
+	return f, nil
+}
+
+// stop stops what was started.
+func (d *demonstration) stop() {
+	if d.fleet != nil {
+		d.fleet.Stop()
+	}
 }
 
 // start starts the fleet and its tables.
@@ -62,10 +71,11 @@
 	}
 	d.fleet = stager.New(d.deployment, o)
 	for _, g := range d.fleet.Groups {
-		if err := g.Exec("create table seats (who text, n int, body text)"); err != nil {
+		if err := d.fill(g); err != nil {
 			return err
 		}
 	}
+	d.tally.arm()
 	if err := d.fleet.Start(ctx); err != nil {
 		return err
 	}
@@ -74,6 +84,26 @@
 	return d.fleet.Ready(bounded, 1)
 }
 
+// fill makes the table of a group, with a row for each caller.
+func (d *demonstration) fill(g *endpointfaker.Group) error {
+	if err := g.Exec("create table seats (who text, n int, body text)"); err != nil {
+		return err
+	}
+	for _, p := range d.deployment.Organisations {
+		for n := range callersPerOrganisation * surgeFactor {
+			if err := g.Exec(fmt.Sprintf("insert into seats (who, n, body) values ('%s', 0, '')", callerName(p.Name, n))); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// callerName returns the name of a caller; it begins with its organisation's.
+func callerName(organisation string, n int) string {
+	return fmt.Sprintf("%s/%d", organisation, n)
+}
+
 // listen opens a listener on loopback and remembers it for the invitation.
 func (d *demonstration) listen(name string) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -110,7 +140,7 @@
 		callers *= surgeFactor
 	}
 	for n := range callers {
-		name := fmt.Sprintf("%s/%d", p.Name, n)
+		name := callerName(p.Name, n)
 		c := &caller{
 			fleet:        d.fleet,
 			tally:        d.tally,
@@ -118,7 +148,7 @@
 			database:     p.Databases[n%len(p.Databases)],
 			name:         name,
 			interval:     time.Duration(float64(callers) / rate * float64(time.Second)),
-			random:       rand.New(rand.NewPCG(seed, uint64(n)<<32|uint64(len(p.Name)))),
+			random:       rand.New(rand.NewPCG(d.options.Seed, xxhash.Sum64String(name))),
 		}
 		group.Go(func() error { return c.run(ctx) })
 	}
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -1,43 +1,86 @@
 package demonstrator
 
 import (
+	"fmt"
+	"io"
 	"math"
 	"time"
 )
 
-// summarise writes the figures and reports whether an invariant broke.
-func (d *demonstration) summarise() bool {
+// Figures are what a demonstration measured.
+type Figures struct {
+	// Options are what was run.
+	Options Options
+	// Reads counts the reads that were answered.
+	Reads int
+	// ReplicaReads counts those that a replica served.
+	ReplicaReads int
+	// Gap is the time without an acknowledged write around the failover.
+	Gap time.Duration
+	// WorstOrganisation is the one that got the smallest share of its due.
+	WorstOrganisation string
+	// WorstShare is that share.
+	WorstShare float64
+	// Asked counts the requests of organisations within their rates.
+	Asked int
+	// Refused counts those that were refused.
+	Refused int
+	// Unknown counts those whose outcome is unknown.
+	Unknown int
+	// Stale counts reads that missed an acknowledged write of their session.
+	Stale int
+	// ReplacedAcks counts acknowledged writes of a replaced primary.
+	ReplacedAcks int
+	// NotRunButRan counts writes that were refused as not run and ran.
+	NotRunButRan int
+	// RanTwice counts writes that ran more than once.
+	RanTwice int
+	// Cross counts statements that ran as another organisation.
+	Cross int
+}
+
+// Broken reports whether an invariant broke.
+func (f Figures) Broken() bool {
+	return f.Stale+f.ReplacedAcks+f.NotRunButRan+f.RanTwice+f.Cross > 0
+}
+
+// write writes the figures, one line each.
+func (f Figures) write(out io.Writer) {
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	line("deployment=%s failover=%t surge=%t for=%s", f.Options.Deployment, f.Options.Failover, f.Options.Surge, f.Options.For)
+	line("replica-read-share=%.3f", ratio(f.ReplicaReads, f.Reads))
+	line("failover-gap=%s", f.Gap.Round(time.Millisecond))
+	line("worst-served-organisation=%s share=%.3f", f.WorstOrganisation, f.WorstShare)
+	line("wrongful-refusals=%d of=%d share=%.5f", f.Refused, f.Asked, ratio(f.Refused, f.Asked))
+	line("outcome-unknown=%d", f.Unknown)
+	line("stale-session-reads=%d", f.Stale)
+	line("replaced-primary-acks=%d", f.ReplacedAcks)
+	line("not-run-but-ran=%d", f.NotRunButRan)
+	line("ran-more-than-once=%d", f.RanTwice)
+	line("cross-organisation-statements=%d", f.Cross)
+}
+
+// figures takes the figures from the tally.
+func (d *demonstration) figures() Figures {
 	t := d.tally
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	f := Figures{
+		Options:      d.options,
+		Gap:          t.gap(d.cutGroup, d.cutAt),
+		Stale:        t.stale,
+		ReplacedAcks: t.replacedAcks(),
+		NotRunButRan: t.notRunButRan(),
+		RanTwice:     t.ranTwice(),
+		Cross:        t.cross,
+	}
 	for _, vm := range d.fleet.VMs() {
 		c := vm.Process.Acceptor.Counters()
-		t.replicaReads += int(c.ReplicaReads.Load())
-		t.primaryReads += int(c.PrimaryReads.Load())
-	}
-	d.line("deployment=%s failover=%t surge=%t for=%s", d.options.Deployment, d.options.Failover, d.options.Surge, d.options.For)
-	d.line("replica-read-share=%.3f", ratio(t.replicaReads, t.replicaReads+t.primaryReads))
-	d.line("failover-gap=%s", t.gap(d.cutGroup, d.cutAt).Round(time.Millisecond))
-	name, share := d.worst()
-	d.line("worst-served-organisation=%s share=%.3f", name, share)
-	refused, asked := d.wrongful()
-	d.line("wrongful-refusals=%d of=%d share=%.5f", refused, asked, ratio(refused, asked))
-	broken := []struct {
-		name  string
-		count int
-	}{
-		{"stale-session-reads", t.stale},
-		{"replaced-primary-acks", t.replacedAcks()},
-		{"not-run-but-ran", t.notRunButRan()},
-		{"ran-more-than-once", t.ranTwice()},
-		{"cross-organisation-statements", t.cross},
+		f.ReplicaReads += int(c.ReplicaReads.Load())
+		f.Reads += int(c.ReplicaReads.Load() + c.PrimaryReads.Load())
 	}
-	failed := false
-	for _, b := range broken {
-		d.line("%s=%d", b.name, b.count)
-		failed = failed || b.count > 0
-	}
-	return failed
+	d.shares(&f)
+	return f
 }
 
 // ratio returns a part of a whole, or zero of nothing.
@@ -48,32 +91,20 @@
 	return float64(part) / float64(whole)
 }
 
-// worst returns the organisation with the smallest share of what it should
-// have had: all that it asked for, up to its rate and burst.
-func (d *demonstration) worst() (name string, share float64) {
-	share = math.Inf(1)
+// shares finds the organisation with the smallest share of what it should have
+// had, and counts the refusals of those that stay within their rates.
+func (d *demonstration) shares(f *Figures) {
+	f.WorstShare = math.Inf(1)
 	for _, p := range d.deployment.Organisations {
 		s := d.tally.organisation(p.Name)
 		due := math.Min(float64(s.asked), p.Rate*d.options.For.Seconds()+p.Burst)
-		if due == 0 {
-			continue
+		if part := float64(s.answered) / due; due > 0 && part < f.WorstShare {
+			f.WorstOrganisation, f.WorstShare = p.Name, part
 		}
-		if part := float64(s.answered) / due; part < share {
-			name, share = p.Name, part
+		if p.Name != d.surging {
+			f.Refused += s.refused
+			f.Asked += s.asked
+			f.Unknown += s.unknown
 		}
 	}
-	return name, share
-}
-
-// wrongful counts the refusals of the organisations that stay within their rates.
-func (d *demonstration) wrongful() (refused, asked int) {
-	for _, p := range d.deployment.Organisations {
-		if p.Name == d.surging {
-			continue
-		}
-		s := d.tally.organisation(p.Name)
-		refused += s.refused
-		asked += s.asked
-	}
-	return refused, asked
 }
--- a/demonstrator/tally.go
+++ b/demonstrator/tally.go
@@ -12,6 +12,7 @@
 // tally counts what callers saw and what the endpoints ran.
 type tally struct {
 	mu            sync.Mutex
+	armed         bool
 	organisations map[string]*served
 	executed      map[string]int
 	replaced      map[string]bool
@@ -46,6 +47,13 @@
 	}
 }
 
+// arm begins to count executions, once the tables are filled.
+func (t *tally) arm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.armed = true
+}
+
 // organisation returns the counts of an organisation. The lock is held.
 func (t *tally) organisation(name string) *served {
 	s := t.organisations[name]
@@ -61,6 +69,9 @@
 func (t *tally) execute(_ string, e endpointfaker.Execution) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.armed {
+		return
+	}
 	for _, text := range e.Texts {
 		owner, _, ok := strings.Cut(text, "/")
 		if !ok {
--- a/pooler/takeover.go
+++ b/pooler/takeover.go
@@ -14,6 +14,8 @@
 const (
 	// takeoverTimeout bounds one request to an instance during a takeover.
 	takeoverTimeout = 700 * time.Millisecond
+	// takeoverGrace is the wait for the last instances once a majority has answered.
+	takeoverGrace = 50 * time.Millisecond
 	// handoverEvery is the time between two questions to the previous owner.
 	handoverEvery = 50 * time.Millisecond
 	// handoverFor bounds the time that the previous owner gets to finish its work.
@@ -76,12 +78,11 @@
 // survey asks all instances for their status and returns the previous owner.
 func (p *Pool) survey(ctx context.Context) (previous string, epoch uint64, err error) {
 	var mu sync.Mutex
-	answered := 0
-	p.each(ctx, func(ctx context.Context, i *instance) {
+	answered := p.each(ctx, func(ctx context.Context, i *instance) error {
 		asked := p.clock.Now()
 		s, err := i.controller.Status(ctx)
 		if err != nil {
-			return
+			return err
 		}
 		now := p.clock.Now()
 		p.mu.Lock()
@@ -90,29 +91,61 @@
 		p.mu.Unlock()
 		mu.Lock()
 		defer mu.Unlock()
-		answered++
 		if s.PoolEpoch >= epoch {
 			previous, epoch = s.PoolOwner, s.PoolEpoch
 		}
+		return nil
 	})
+	mu.Lock()
+	defer mu.Unlock()
 	if answered <= len(p.instances)/2 {
 		return "", 0, eris.Errorf("only %d of %d instances of %s answer", answered, len(p.instances), p.settings.Name)
 	}
 	return previous, epoch, nil
 }
 
-// each calls f for all instances in parallel and waits.
-func (p *Pool) each(ctx context.Context, f func(ctx context.Context, i *instance)) {
+// each calls f for all instances in parallel and returns how many succeeded.
+//
+// It does not wait for the rest once a majority succeeded and a grace has
+// passed: an instance that was cut off must not hold a takeover up.
+func (p *Pool) each(ctx context.Context, f func(ctx context.Context, i *instance) error) int {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
-	defer cancel()
+	results := make(chan error, len(p.instances))
 	var group errgroup.Group
 	for _, i := range p.instances {
 		group.Go(func() error {
-			f(ctx, i)
+			results <- f(ctx, i)
 			return nil
 		})
 	}
-	_ = group.Wait()
+	var rest errgroup.Group
+	rest.Go(func() error {
+		defer cancel()
+		return group.Wait()
+	})
+	return p.collect(results)
+}
+
+// collect counts the successes among results.
+func (p *Pool) collect(results <-chan error) int {
+	succeeded := 0
+	var grace <-chan time.Time
+	for range p.instances {
+		select {
+		case err := <-results:
+			if err == nil {
+				succeeded++
+			}
+		case <-grace:
+			return succeeded
+		}
+		if grace == nil && succeeded > len(p.instances)/2 {
+			timer := time.NewTimer(takeoverGrace)
+			defer timer.Stop()
+			grace = timer.C
+		}
+	}
+	return succeeded
 }
 
 // ask asks a live previous owner to let go; gentle is false when there is none.
@@ -128,14 +161,8 @@
 
 // fence shuts earlier owners out at a majority of the instances.
 func (p *Pool) fence(ctx context.Context, epoch uint64) error {
-	var mu sync.Mutex
-	fenced := 0
-	p.each(ctx, func(ctx context.Context, i *instance) {
-		if err := i.controller.Fence(ctx, epoch, p.VM); err == nil {
-			mu.Lock()
-			defer mu.Unlock()
-			fenced++
-		}
+	fenced := p.each(ctx, func(ctx context.Context, i *instance) error {
+		return i.controller.Fence(ctx, epoch, p.VM)
 	})
 	if fenced <= len(p.instances)/2 {
 		return eris.Errorf("only %d of %d instances of %s accept pool epoch %d", fenced, len(p.instances), p.settings.Name, epoch)
--- a/prober/client.go
+++ b/prober/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -21,13 +20,14 @@
 // protocol, on one connection that it opens anew after a failure.
 type Client struct {
 	target Target
-	mu     sync.Mutex
-	conn   *pgconn.PgConn
+	// turn holds one token: who has it uses the connection.
+	turn chan struct{}
+	conn *pgconn.PgConn
 }
 
 // New returns a Client without a connection.
 func New(t Target) *Client {
-	return &Client{target: t}
+	return &Client{target: t, turn: make(chan struct{}, 1)}
 }
 
 // Status returns the status of the instance.
@@ -53,8 +53,8 @@
 
 // Close ends the connection.
 func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
 	c.drop()
 }
 
@@ -76,8 +76,12 @@
 
 // call runs a control function and returns its only value.
 func (c *Client) call(ctx context.Context, text string) ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	select {
+	case c.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "waiting for the control connection")
+	}
+	defer func() { <-c.turn }()
 	if c.conn == nil {
 		conn, err := c.target.Connect(ctx, 0, connectTimeout)
 		if err != nil {
@@ -98,7 +102,7 @@
 	return results[0].Rows[0][0], nil
 }
 
-// drop closes the connection. The lock is held.
+// drop closes the connection. The caller has the turn.
 func (c *Client) drop() {
 	if c.conn == nil {
 		return
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -83,12 +83,21 @@
 	if v.heardSince(now, p.config.SuspectAfter) < v.majority() || now.Before(p.notUntil) {
 		return nil
 	}
-	if p.suspect != "" {
-		p.suspect = ""
+	if hidden, ok := v.hidden(); ok {
+		p.reason = fmt.Sprintf("no primary is known, and %s never answered", hidden.ID)
+		return p.suspectPrimary(now, hidden)
 	}
 	return p.begin(now, v, "no instance leads the latest term")
 }
 
+// suspectPrimary asks the observers whether they reach an instance.
+func (p *Promoter) suspectPrimary(now time.Time, i InstanceView) []Action {
+	p.suspect = i.ID
+	p.reached = map[string]bool{}
+	p.enter(now, Observing)
+	return []Action{{Kind: AskObservers, Instance: i.ID, Term: i.Status.Term, Reason: p.reason}}
+}
+
 // watchPrimary looks after a known primary.
 func (p *Promoter) watchPrimary(now time.Time, v View, primary InstanceView) []Action {
 	silent := now.Sub(primary.Heard)
@@ -99,11 +108,8 @@
 		if v.heardSince(now, p.config.SuspectAfter) < v.majority() {
 			return nil
 		}
-		p.suspect = primary.ID
-		p.reached = map[string]bool{}
 		p.reason = fmt.Sprintf("primary %s silent for %s", primary.ID, silent.Round(time.Millisecond))
-		p.enter(now, Observing)
-		return []Action{{Kind: AskObservers, Instance: primary.ID, Term: primary.Status.Term, Reason: p.reason}}
+		return p.suspectPrimary(now, primary)
 	case primary.Status.Leaving && v.heardSince(now, p.config.SuspectAfter) > v.majority()-1 && len(v.Instances) > 1:
 		p.suspect = primary.ID
 		p.paused = true
--- a/promoter/view.go
+++ b/promoter/view.go
@@ -78,3 +78,21 @@
 	}
 	return n
 }
+
+// hidden returns an instance that never answered and may lead the latest term.
+//
+// There is none when the instances follow a term that no log has reached: then
+// a promotion was left half done, and whoever led before is fenced.
+func (v View) hidden() (InstanceView, bool) {
+	var found InstanceView
+	ok := false
+	for _, i := range v.Instances {
+		if i.Known && i.Status.Term > i.Status.History.Term() {
+			return InstanceView{}, false
+		}
+		if !i.Known && !ok {
+			found, ok = i, true
+		}
+	}
+	return found, ok
+}
