--- /dev/null
+++ b/governor/board_test.go
@@ -0,0 +1,186 @@
+package governor_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/storefaker"
+)
+
+// now is the time of every test.
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// board returns a board on a fresh store with a template, a route and an organisation.
+func board(t *testing.T) (*governor.Board, *storefaker.Server) {
+	t.Helper()
+	g := NewWithT(t)
+	store := storefaker.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	b := governor.NewBoard(keeper.New(server.URL, nil))
+	propose(g, b, "first", []governor.Edit{
+		{Kind: governor.PutTemplate, Template: &governor.Template{
+			Name: "standard", Rate: governor.NumberBound{Default: 50, Min: 1, Max: 100}, Burst: governor.NumberBound{Default: 50, Min: 1, Max: 100},
+			Staleness: governor.DurationBound{Default: governor.Duration{Duration: 5 * time.Second}, Min: governor.Duration{Duration: time.Second}, Max: governor.Duration{Duration: time.Minute}},
+		}},
+		{Kind: governor.PutRoute, Route: &governor.Route{Database: "d", Group: "g", Capacity: 120}},
+		{Kind: governor.PutOrganisation, Organisation: &governor.Organisation{Name: "o", Template: "standard", Databases: []string{"d"}}},
+	})
+	_, err := b.Accept(context.Background(), "first", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+	return b, store
+}
+
+func propose(g *WithT, b *governor.Board, id string, edits []governor.Edit) {
+	_, err := b.Propose(context.Background(), governor.Change{ID: id, Proposer: "p", Proposed: now, Edits: edits})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func rate(value string) []governor.Edit {
+	return []governor.Edit{{Kind: governor.SetOrganisation, Object: "o", Parameter: governor.Rate, Value: value}}
+}
+
+// Invariant: an accepted configuration never reverts; of two racing operators
+// one wins and the other learns the difference.
+func TestRacingOperators(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := board(t)
+	ctx := context.Background()
+	propose(g, b, "x", rate("60"))
+	propose(g, b, "y", rate("70"))
+	_, err := b.Accept(ctx, "x", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = b.Accept(ctx, "y", "b", now)
+	g.Expect(coder.Is(err, coder.ProposalConflict)).To(BeTrue())
+	g.Expect(err).To(MatchError(ContainSubstring("generation 2 by p: set-organisation o rate=60")))
+	s, _, err := b.Load(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	o, _ := s.Organisation("o")
+	g.Expect(*o.Rate).To(Equal(60.0))
+}
+
+func TestAcceptIsIdempotent(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := board(t)
+	ctx := context.Background()
+	propose(g, b, "x", rate("60"))
+	first, err := b.Accept(ctx, "x", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := b.Accept(ctx, "x", "b", now.Add(time.Hour))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(first))
+}
+
+// A lost answer after the acceptance took effect is recognised by the
+// proposal's identifier.
+func TestLostAnswers(t *testing.T) {
+	g := NewWithT(t)
+	b, store := board(t)
+	ctx := context.Background()
+	store.SetFaults(storefaker.Faults{LoseAnswers: 1})
+	propose(g, b, "x", rate("60"))
+	store.SetFaults(storefaker.Faults{LoseAnswers: 1})
+	c, err := b.Accept(ctx, "x", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Generation).To(Equal(uint64(2)))
+}
+
+func TestStoreDown(t *testing.T) {
+	g := NewWithT(t)
+	b, store := board(t)
+	propose(g, b, "x", rate("60"))
+	store.SetFaults(storefaker.Faults{Down: true})
+	_, err := b.Accept(context.Background(), "x", "a", now)
+	g.Expect(coder.Is(err, coder.StoreUnavailable)).To(BeTrue())
+	store.SetFaults(storefaker.Faults{})
+	_, err = b.Accept(context.Background(), "x", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestRefusedProposals(t *testing.T) {
+	b, _ := board(t)
+	tests := []struct {
+		name string
+		edit governor.Edit
+		want string
+	}{
+		{"out of range", rate("500")[0], "out of the range"},
+		{"not a number", rate("much")[0], "does not fit"},
+		{"unknown organisation", governor.Edit{Kind: governor.SetOrganisation, Object: "none", Parameter: governor.Rate, Value: "1"}, "no organisation"},
+		{"unknown parameter", governor.Edit{Kind: governor.SetOrganisation, Object: "o", Parameter: "speed", Value: "1"}, "unknown parameter"},
+		{"unknown database", governor.Edit{Kind: governor.PutOrganisation, Organisation: &governor.Organisation{Name: "p", Template: "standard", Databases: []string{"none"}}}, "unknown database"},
+		{"reserved name", governor.Edit{Kind: governor.PutOrganisation, Organisation: &governor.Organisation{Name: "open", Template: "standard"}}, "name of its own"},
+		{"unknown key", governor.Edit{Kind: governor.WithdrawKey, Object: "o", Key: &governor.Key{ID: "none"}}, "no such key"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := b.Propose(context.Background(), governor.Change{ID: tt.name, Edits: []governor.Edit{tt.edit}})
+			g.Expect(err).To(MatchError(ContainSubstring(tt.want)))
+		})
+	}
+}
+
+func TestRatesAboveCapacityBlockAcceptance(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := board(t)
+	propose(g, b, "x", []governor.Edit{
+		{Kind: governor.PutOrganisation, Organisation: &governor.Organisation{Name: "p", Template: "standard", Databases: []string{"d"}}},
+		{Kind: governor.SetOrganisation, Object: "o", Parameter: governor.Rate, Value: "100"},
+	})
+	_, err := b.Accept(context.Background(), "x", "a", now)
+	g.Expect(err).To(MatchError(ContainSubstring("rates add up to 150 of 120")))
+}
+
+func TestLogOnlyMovesForward(t *testing.T) {
+	g := NewWithT(t)
+	b, _ := board(t)
+	propose(g, b, "x", rate("60"))
+	_, err := b.Accept(context.Background(), "x", "a", now)
+	g.Expect(err).NotTo(HaveOccurred())
+	changes, err := b.History(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	var values [][]byte
+	for _, c := range changes {
+		raw, err := json.Marshal(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		values = append(values, raw)
+	}
+	l := governor.NewLog()
+	_, err = l.Append(values[1:])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Index().Generation()).To(BeZero(), "a gap is not skipped")
+	n, err := l.Append(values)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(2))
+	g.Expect(l.Restore([]byte(`{"generation":1}`))).To(Succeed())
+	g.Expect(l.Index().Generation()).To(Equal(uint64(2)))
+	snapshot, missing, err := l.Since(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(snapshot).To(BeNil())
+	g.Expect(missing).To(HaveLen(1))
+}
+
+func BenchmarkIndex(b *testing.B) {
+	for _, n := range []int{1, 100, 10000} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			s := governor.State{Templates: []governor.Template{{Name: "t"}}, Routes: []governor.Route{{Database: "d", Group: "g"}}}
+			for i := range n {
+				s.Organisations = append(s.Organisations, governor.Organisation{Name: fmt.Sprintf("o%06d", i), Template: "t", Databases: []string{"d"}})
+			}
+			b.ReportAllocs()
+			for range b.N {
+				governor.NewIndex(s)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/promoter/promoter_test.go
@@ -0,0 +1,205 @@
+package promoter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/promoter"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// start is the time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// instance returns what is seen of an instance.
+func instance(id string, primary bool, heard time.Time, p tracker.Position) promoter.InstanceView {
+	return promoter.InstanceView{ID: id, Known: true, Heard: heard, Status: tracker.Status{
+		Primary: primary, Term: 1, Applied: p, History: tracker.History{{Term: 1}},
+	}}
+}
+
+// view returns a group whose primary was heard at heard.
+func view(now, heard time.Time, replicasMiss bool) promoter.View {
+	v := promoter.View{Instances: []promoter.InstanceView{
+		instance("a", true, heard, tracker.Position{Term: 1, Offset: 10}),
+		instance("b", false, now, tracker.Position{Term: 1, Offset: 8}),
+		instance("c", false, now, tracker.Position{Term: 1, Offset: 9}),
+	}}
+	if replicasMiss {
+		v.Instances[1].Status.SincePrimary = time.Second
+		v.Instances[2].Status.SincePrimary = time.Second
+	}
+	return v
+}
+
+// follow answers raise actions as an instance would.
+func follow(p *promoter.Promoter, now time.Time, v promoter.View, actions []promoter.Action, ids ...string) {
+	for _, a := range actions {
+		for _, id := range ids {
+			if a.Kind == promoter.RaiseTerm && a.Instance == id {
+				for _, i := range v.Instances {
+					if i.ID == id {
+						s := i.Status
+						s.Term, s.Primary = a.Term, false
+						p.Raised(now, id, a.Term, s)
+					}
+				}
+			}
+		}
+	}
+}
+
+func TestPromotesTheMostAdvanced(t *testing.T) {
+	g := NewWithT(t)
+	p := promoter.New(promoter.DefaultConfig())
+	now := start.Add(time.Second)
+	v := view(now, start, true)
+	actions := p.Step(now, v)
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Kind).To(Equal(promoter.AskObservers))
+	now = now.Add(200 * time.Millisecond)
+	v = view(now, start, true)
+	actions = p.Step(now, v)
+	g.Expect(actions).To(HaveLen(3))
+	follow(p, now, v, actions, "b", "c")
+	actions = p.Step(now, v)
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Kind).To(Equal(promoter.PromoteInstance))
+	g.Expect(actions[0].Instance).To(Equal("c"))
+	g.Expect(actions[0].Term).To(Equal(uint64(2)))
+}
+
+func TestOneSilentLinkDoesNotPromote(t *testing.T) {
+	tests := []struct {
+		name         string
+		peers        map[string]bool
+		replicasMiss bool
+	}{
+		{"replicas hear the primary", nil, false},
+		{"peers reach the primary", map[string]bool{"x": true, "y": true, "z": true}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := promoter.New(promoter.DefaultConfig())
+			now := start.Add(time.Second)
+			p.Step(now, view(now, start, tt.replicasMiss))
+			for peer, ok := range tt.peers {
+				p.Observed(peer, "a", ok)
+			}
+			for range 50 {
+				now = now.Add(20 * time.Millisecond)
+				for _, a := range p.Step(now, view(now, start, tt.replicasMiss)) {
+					g.Expect(a.Kind).NotTo(Equal(promoter.RaiseTerm))
+				}
+				for peer, ok := range tt.peers {
+					p.Observed(peer, "a", ok)
+				}
+			}
+		})
+	}
+}
+
+func TestNewOwnerDoesNotTakeAnUnheardPrimaryForDead(t *testing.T) {
+	g := NewWithT(t)
+	p := promoter.New(promoter.DefaultConfig())
+	v := view(start, start, false)
+	v.Instances[0] = promoter.InstanceView{ID: "a"}
+	actions := p.Step(start, v)
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Kind).To(Equal(promoter.AskObservers))
+}
+
+func TestHalfDonePromotionIsFinished(t *testing.T) {
+	g := NewWithT(t)
+	p := promoter.New(promoter.DefaultConfig())
+	v := view(start, start, true)
+	for n := range v.Instances {
+		v.Instances[n].Status.Term = 4
+		v.Instances[n].Status.Primary = false
+	}
+	v.Instances[0] = promoter.InstanceView{ID: "a"}
+	actions := p.Step(start, v)
+	g.Expect(actions).To(HaveLen(3))
+	g.Expect(actions[0].Term).To(Equal(uint64(5)))
+}
+
+func TestWithoutMajorityNothingIsPromoted(t *testing.T) {
+	g := NewWithT(t)
+	p := promoter.New(promoter.DefaultConfig())
+	now := start.Add(time.Minute)
+	v := view(now, start, true)
+	v.Instances[1].Heard = start
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		v.Instances[2].Heard = now
+		g.Expect(p.Step(now, v)).To(BeEmpty())
+	}
+}
+
+func TestLeavingPrimaryWaitsForAReplica(t *testing.T) {
+	g := NewWithT(t)
+	p := promoter.New(promoter.DefaultConfig())
+	now := start
+	v := view(now, now, false)
+	v.Instances[0].Status.Leaving = true
+	actions := p.Step(now, v)
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Kind).To(Equal(promoter.PauseWrites))
+	now = now.Add(100 * time.Millisecond)
+	v = view(now, now, false)
+	v.Instances[0].Status.Leaving = true
+	g.Expect(p.Step(now, v)).To(BeEmpty(), "no replica has caught up")
+	v.Instances[2].Status.Applied.Offset = 10
+	actions = p.Step(now, v)
+	g.Expect(actions).To(HaveLen(3))
+	follow(p, now, v, actions, "a", "b", "c")
+	actions = p.Step(now, v)
+	g.Expect(actions[0].Instance).To(Equal("c"), "the leaving instance is a last resort")
+	actions = p.Promoted(now, "c", actions[0].Term, true)
+	g.Expect(actions[0].Kind).To(Equal(promoter.ResumeWrites))
+}
+
+// A day of noisy heartbeats: one in fifty answers is lost and stalls of up to
+// 900 ms come every few seconds; no promotion may come of it.
+func TestNoFalsePromotionInANoisyDay(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(9, 9))
+	p := promoter.New(promoter.DefaultConfig())
+	heard := start
+	stalled := start
+	raises := 0
+	for now := start; now.Before(start.Add(24 * time.Hour)); now = now.Add(100 * time.Millisecond) {
+		if random.IntN(50) == 0 {
+			stalled = now.Add(time.Duration(random.IntN(900)) * time.Millisecond)
+		}
+		if now.After(stalled) && random.IntN(50) != 0 {
+			heard = now
+		}
+		for _, a := range p.Step(now, view(now, heard, false)) {
+			switch a.Kind {
+			case promoter.RaiseTerm:
+				raises++
+			case promoter.AskObservers:
+				for n := range 5 {
+					p.Observed(fmt.Sprint(n), "a", random.IntN(20) != 0)
+				}
+			default:
+			}
+		}
+	}
+	g.Expect(raises).To(BeZero())
+}
+
+func BenchmarkStep(b *testing.B) {
+	p := promoter.New(promoter.DefaultConfig())
+	v := view(start, start, false)
+	b.ReportAllocs()
+	for range b.N {
+		p.Step(start, v)
+	}
+}
--- /dev/null
+++ b/registrar/coordinator_test.go
@@ -0,0 +1,112 @@
+package registrar_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+)
+
+// start is the time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func member(id string) registrar.Member {
+	return registrar.Member{ID: id, Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
+}
+
+func ids(r registrar.Roster) []string {
+	var out []string
+	for _, m := range r.Members {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+func TestRosterFollowsHeartbeats(t *testing.T) {
+	g := NewWithT(t)
+	c := registrar.NewCoordinator(start, registrar.Roster{Version: 5, Members: []registrar.Member{member("old")}})
+	c.Beat(start, member("a"))
+	c.Beat(start, member("b"))
+	r := c.Roster(start)
+	g.Expect(ids(r)).To(Equal([]string{"a", "b", "old"}))
+	g.Expect(r.Version).To(Equal(uint64(6)))
+
+	c.Beat(start.Add(900*time.Millisecond), member("a"))
+	r = c.Roster(start.Add(1100 * time.Millisecond))
+	g.Expect(ids(r)).To(Equal([]string{"a"}))
+	g.Expect(c.Roster(start.Add(1200 * time.Millisecond)).Version).To(Equal(r.Version))
+}
+
+func TestSuspicionNeedsSilence(t *testing.T) {
+	g := NewWithT(t)
+	c := registrar.NewCoordinator(start, registrar.Roster{})
+	c.Beat(start, member("a"))
+	c.Suspect(start.Add(100*time.Millisecond), "a")
+	g.Expect(ids(c.Roster(start.Add(300 * time.Millisecond)))).To(Equal([]string{"a"}))
+	g.Expect(ids(c.Roster(start.Add(500 * time.Millisecond)))).To(BeEmpty())
+	c.Beat(start.Add(600*time.Millisecond), member("a"))
+	g.Expect(ids(c.Roster(start.Add(1200 * time.Millisecond)))).To(Equal([]string{"a"}))
+}
+
+func TestEarlierProcessIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	c := registrar.NewCoordinator(start, registrar.Roster{})
+	later := member("a")
+	later.Incarnation = 2
+	c.Beat(start, later)
+	c.Beat(start.Add(time.Second), member("a"))
+	g.Expect(c.Roster(start.Add(1001 * time.Millisecond)).Members).To(BeEmpty())
+}
+
+func TestOwnerPassesOver(t *testing.T) {
+	g := NewWithT(t)
+	r := registrar.Roster{Members: []registrar.Member{member("a"), member("b"), member("c")}}
+	first, ok := r.Owner("g", nil)
+	g.Expect(ok).To(BeTrue())
+	second, _ := r.Owner("g", func(id string) bool { return id == first.ID })
+	g.Expect(second.ID).NotTo(Equal(first.ID))
+	for i := range r.Members {
+		if r.Members[i].ID == first.ID {
+			r.Members[i].Leaving = true
+		} else {
+			r.Members[i].UnfitGroups = []string{"g"}
+		}
+	}
+	last, ok := r.Owner("g", nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(last.ID).To(Equal(second.ID), "an unfit VM is better than none, a leaving one is not")
+}
+
+func BenchmarkRoster(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			c := registrar.NewCoordinator(start, registrar.Roster{})
+			for i := range n {
+				c.Beat(start, member(fmt.Sprintf("vm-%d", i)))
+			}
+			b.ReportAllocs()
+			for range b.N {
+				c.Roster(start)
+			}
+		})
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			r := registrar.Roster{}
+			for i := range n {
+				r.Members = append(r.Members, member(fmt.Sprintf("vm-%d", i)))
+			}
+			b.ReportAllocs()
+			for range b.N {
+				r.Owner("members-1", nil)
+			}
+		})
+	}
+}
