fix: a process that just started does not take the pools of others

Change: a new coordinator starts from all VMs that the platform and the seeds name, and a process takes no pool in its first 1.2 s.

--- a/demonstrator/caller.go
+++ b/demonstrator/caller.go
@@ -137,6 +137,9 @@
 func (c *caller) failed(err error, mark string) bool {
 	var e *pgconn.PgError
 	switch {
+	case pgconn.SafeToRetry(err):
+		c.tally.forget(c.organisation)
+		return false
 	case !errors.As(err, &e):
 		c.tally.fail(c.organisation)
 		return false
--- a/demonstrator/options.go
+++ b/demonstrator/options.go
@@ -21,6 +21,8 @@
 	Surge bool
 	// Seed makes the choices of the callers the same in each run.
 	Seed uint64
+	// Offered is the part of its rate that an organisation sends; zero is half.
+	Offered float64
 	// Disturb does harm to the fleet while the load runs; nil does none.
 	Disturb func(ctx context.Context, f *stager.Fleet) error
 	// Stay keeps the fleet up afterwards and prints how to connect.
@@ -30,7 +32,7 @@
 const (
 	// callersPerOrganisation is the number of callers of one organisation.
 	callersPerOrganisation = 4
-	// offered is the part of its rate that an organisation sends.
+	// offered is the part of its rate that an organisation sends by default.
 	offered = 0.5
 	// surgeFactor is the multiple of its rate that a surging organisation sends.
 	surgeFactor = 5
--- a/demonstrator/run.go
+++ b/demonstrator/run.go
@@ -38,6 +38,9 @@
 	if !ok {
 		return Figures{}, eris.Errorf("no deployment %s", o.Deployment)
 	}
+	if o.Offered == 0 {
+		o.Offered = offered
+	}
 	d := &demonstration{options: o, deployment: deployment, tally: newTally(), out: out}
 	defer d.stop()
 	if err := d.start(ctx); err != nil {
@@ -120,7 +123,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	for _, p := range d.deployment.Organisations {
-		rate := p.Rate * offered
+		rate := p.Rate * d.options.Offered
 		if d.options.Surge && d.surging == "" {
 			d.surging = p.Name
 			rate = p.Rate * surgeFactor
--- a/demonstrator/tally.go
+++ b/demonstrator/tally.go
@@ -94,6 +94,14 @@
 	t.organisation(organisation).asked++
 }
 
+// forget takes back a request that never left the caller: its connection had
+// been closed while it was idle.
+func (t *tally) forget(organisation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.organisation(organisation).asked--
+}
+
 // answer counts a whole answer.
 func (t *tally) answer(organisation string) {
 	t.mu.Lock()
--- a/pooler/manager.go
+++ b/pooler/manager.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// settleFor is the time that a new process gets to learn who else is there:
+	// before it, every pool would look as if it had no owner.
+	settleFor = 1200 * time.Millisecond
 	// reconcileEvery is the time between two looks at who should own what.
 	reconcileEvery = 100 * time.Millisecond
 	// takeBackoff is the mean wait after a takeover that failed.
@@ -42,6 +45,7 @@
 	pools    map[string]*Pool
 	names    []string
 	notUntil map[string]time.Time
+	started  time.Time
 }
 
 // NewManager returns a Manager of pools. The seed spreads repeated attempts.
@@ -106,6 +110,12 @@
 // reconcile starts the takeovers that are due.
 func (m *Manager) reconcile(ctx context.Context, group *errgroup.Group) {
 	now := m.clock.Now()
+	if m.started.IsZero() {
+		m.started = now
+	}
+	if now.Sub(m.started) < settleFor {
+		return
+	}
 	roster := m.register.Roster()
 	var unfit []string
 	for _, name := range m.names {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -296,7 +296,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.coordinator == nil {
-		r.coordinator = NewCoordinator(now, r.roster)
+		r.coordinator = NewCoordinator(now, r.inheritance())
 		r.coordinator.SetLeaving(r.leavingVMs)
 	}
 	r.coordinator.Beat(now, b.Member)
@@ -317,6 +317,21 @@
 	return a
 }
 
+// inheritance returns the roster that a new coordinator starts from: the one at
+// hand, or all VMs that the platform and the seeds name. The lock is held.
+func (r *Registrar) inheritance() Roster {
+	if len(r.roster.Members) > 0 {
+		return r.roster
+	}
+	var out Roster
+	for _, m := range r.listed {
+		if m.ID != r.self.ID {
+			out.Members = append(out.Members, m)
+		}
+	}
+	return out
+}
+
 // accept takes the answer to a heartbeat in.
 func (r *Registrar) accept(coordinator string, a Answer) {
 	now := r.Clock.Now()
