--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -91,21 +91,22 @@
 // Beat sends a heartbeat to a VM.
 func (c *Caller) Beat(ctx context.Context, to netip.AddrPort, b registrar.Beat) (registrar.Answer, error) {
 	reply, err := c.client(ctx, to).Beat(ctx, &messenger.BeatRequest{
-		Member:         memberOut(b.Member),
-		Generation:     b.Member.Generation,
-		Changes:        b.Changes,
-		Suspects:       b.Suspects,
-		StoreReachable: b.StoreReachable,
+		Member:                   memberOut(b.Member),
+		Generation:               b.Member.Generation,
+		Snapshot:                 b.Snapshot,
+		Changes:                  b.Changes,
+		Suspects:                 b.Suspects,
+		StoreSilenceMicroseconds: b.StoreSilence.Microseconds(),
 	})
 	if err != nil {
 		return registrar.Answer{}, eris.Wrapf(err, "sending a heartbeat to %s", to)
 	}
 	a := registrar.Answer{
-		Roster:         registrar.Roster{Version: reply.GetRosterVersion()},
-		Generation:     reply.GetGeneration(),
-		Snapshot:       reply.GetSnapshot(),
-		Changes:        reply.GetChanges(),
-		StoreReachable: reply.GetStoreReachable(),
+		Roster:       registrar.Roster{Version: reply.GetRosterVersion()},
+		Generation:   reply.GetGeneration(),
+		Snapshot:     reply.GetSnapshot(),
+		Changes:      reply.GetChanges(),
+		StoreSilence: time.Duration(reply.GetStoreSilenceMicroseconds()) * time.Microsecond,
 	}
 	for _, m := range reply.GetMembers() {
 		a.Roster.Members = append(a.Roster.Members, memberIn(m))
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -55,17 +56,18 @@
 // Beat answers a heartbeat.
 func (s *Server) Beat(_ context.Context, m *messenger.BeatRequest) (*messenger.BeatReply, error) {
 	a := s.beats.Handle(registrar.Beat{
-		Member:         memberIn(m.GetMember()),
-		Changes:        m.GetChanges(),
-		Suspects:       m.GetSuspects(),
-		StoreReachable: m.GetStoreReachable(),
+		Member:       memberIn(m.GetMember()),
+		Snapshot:     m.GetSnapshot(),
+		Changes:      m.GetChanges(),
+		Suspects:     m.GetSuspects(),
+		StoreSilence: time.Duration(m.GetStoreSilenceMicroseconds()) * time.Microsecond,
 	})
 	reply := &messenger.BeatReply{
-		RosterVersion:  a.Roster.Version,
-		Generation:     a.Generation,
-		Snapshot:       a.Snapshot,
-		Changes:        a.Changes,
-		StoreReachable: a.StoreReachable,
+		RosterVersion:            a.Roster.Version,
+		Generation:               a.Generation,
+		Snapshot:                 a.Snapshot,
+		Changes:                  a.Changes,
+		StoreSilenceMicroseconds: a.StoreSilence.Microseconds(),
 	}
 	for _, member := range a.Roster.Members {
 		reply.Members = append(reply.Members, memberOut(member))
--- a/pooler/account.go
+++ b/pooler/account.go
@@ -33,7 +33,7 @@
 		a.spender = allotter.NewSpender(ownedAt, group, epoch, bases[max(slices.Index(groups, group), 0)])
 		fraction = float64(a.spender.Usable(now)) / allotter.Whole
 	}
-	scaled := limit.Scale(fraction)
+	scaled := admitted(limit.Scale(fraction))
 	tokens := min(scaled.Burst, scaled.Rate*now.Sub(ownedAt).Seconds())
 	if epoch == 1 {
 		tokens = scaled.Burst
@@ -42,6 +42,18 @@
 	return a
 }
 
+// deliveryJitter is the difference in time by which two admitted requests may
+// come closer together before they reach an endpoint.
+const deliveryJitter = 50 * time.Millisecond
+
+// admitted returns the limit at admission that keeps the limit at the endpoints:
+// the burst is smaller by what the jitter could add, and the last of a full
+// burst wait that long.
+func admitted(l limiter.Limit) limiter.Limit {
+	l.Burst = max(l.Burst-l.Rate*deliveryJitter.Seconds(), min(l.Burst, 1))
+	return l
+}
+
 // refresh brings the bucket in line with the configuration and the fraction at hand.
 func (a *account) refresh(now time.Time, limit limiter.Limit) {
 	a.limit = limit
@@ -49,6 +61,7 @@
 	if a.spender != nil {
 		scaled = limit.Scale(float64(a.spender.Usable(now)) / allotter.Whole)
 	}
+	scaled = admitted(scaled)
 	if scaled != a.bucket.Limit() {
 		a.bucket.Set(now, scaled)
 	}
--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -1,15 +1,19 @@
 package registrar
 
+import "time"
+
 // Beat is a heartbeat.
 type Beat struct {
 	// Member is the sender.
 	Member Member
 	// Changes are accepted changes that the receiver may lack.
 	Changes [][]byte
+	// Snapshot is a whole configuration, where changes do not suffice.
+	Snapshot []byte
 	// Suspects are VMs that do not answer the sender.
 	Suspects []string
-	// StoreReachable reports that the sender lately spoke to the platform's store.
-	StoreReachable bool
+	// StoreSilence is the time since the sender, or one that told it, last spoke to the platform's store.
+	StoreSilence time.Duration
 }
 
 // Answer is the answer to a heartbeat.
@@ -22,6 +26,6 @@
 	Snapshot []byte
 	// Changes are accepted changes that the sender lacks.
 	Changes [][]byte
-	// StoreReachable reports that the cell lately spoke to the platform's store.
-	StoreReachable bool
+	// StoreSilence is the time since anybody of the cell last spoke to the platform's store.
+	StoreSilence time.Duration
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -97,13 +97,14 @@
 // New returns a Registrar that knows itself and its seeds.
 func New(p Parts) *Registrar {
 	r := &Registrar{
-		Parts:    p,
-		self:     p.Self,
-		listed:   map[string]Member{p.Self.ID: p.Self},
-		changed:  make(chan struct{}),
-		avoided:  map[string]time.Time{},
-		suspects: map[string]time.Time{},
-		kick:     make(chan struct{}, 1),
+		Parts:     p,
+		self:      p.Self,
+		storeSeen: p.Clock.Now(),
+		listed:    map[string]Member{p.Self.ID: p.Self},
+		changed:   make(chan struct{}),
+		avoided:   map[string]time.Time{},
+		suspects:  map[string]time.Time{},
+		kick:      make(chan struct{}, 1),
 	}
 	for _, s := range p.Seeds {
 		r.listed[s.ID] = s
@@ -209,15 +210,16 @@
 func (r *Registrar) beatOnce(ctx context.Context) {
 	b := r.next()
 	for _, m := range r.candidates() {
+		sent := r.Clock.Now()
 		if m.ID == r.self.ID {
-			r.accept(m.ID, r.Handle(b))
+			r.accept(m.ID, sent, r.Handle(b))
 			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, beatTimeout)
 		answer, err := r.Caller.Beat(bounded, m.Address, b)
 		cancel()
 		if err == nil {
-			r.accept(m.ID, answer)
+			r.accept(m.ID, sent, answer)
 			return
 		}
 		if ctx.Err() != nil {
@@ -234,7 +236,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.Generation = generation
-	b := Beat{Member: r.self, StoreReachable: now.Sub(r.storeSeen) < storeLapse}
+	b := Beat{Member: r.self, StoreSilence: now.Sub(r.storeSeen)}
 	for id, at := range r.suspects {
 		if now.Sub(at) > suspectFor {
 			delete(r.suspects, id)
@@ -243,8 +245,8 @@
 		b.Suspects = append(b.Suspects, id)
 	}
 	if r.behindSet && r.behind < generation {
-		if _, changes, err := r.Log.Since(r.behind); err == nil {
-			b.Changes = changes
+		if snapshot, changes, err := r.Log.Since(r.behind); err == nil {
+			b.Snapshot, b.Changes = snapshot, changes
 		}
 	}
 	return b
@@ -288,11 +290,7 @@
 // Handle answers a heartbeat as the coordinator.
 func (r *Registrar) Handle(b Beat) Answer {
 	now := r.Clock.Now()
-	if len(b.Changes) > 0 {
-		if n, err := r.Log.Append(b.Changes); err == nil && n > 0 {
-			r.recordGeneration(now, "a member's heartbeat")
-		}
-	}
+	r.adopt(now, b.Snapshot, b.Changes, "a heartbeat of "+b.Member.ID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.coordinator == nil {
@@ -303,13 +301,11 @@
 	for _, id := range b.Suspects {
 		r.coordinator.Suspect(now, id)
 	}
-	if b.StoreReachable {
-		r.storeSeen = now
-	}
+	r.heardOfStore(now.Add(-b.StoreSilence))
 	a := Answer{
-		Roster:         r.coordinator.Roster(now),
-		Generation:     r.Log.Index().Generation(),
-		StoreReachable: now.Sub(r.storeSeen) < storeLapse,
+		Roster:       r.coordinator.Roster(now),
+		Generation:   r.Log.Index().Generation(),
+		StoreSilence: now.Sub(r.storeSeen),
 	}
 	if snapshot, changes, err := r.Log.Since(b.Member.Generation); err == nil {
 		a.Snapshot, a.Changes = snapshot, changes
@@ -317,6 +313,21 @@
 	return a
 }
 
+// adopt takes configuration from a peer in and reports whether it was news.
+// What cannot be read is passed over: the store has the last word.
+func (r *Registrar) adopt(now time.Time, snapshot []byte, changes [][]byte, source string) bool {
+	before := r.Log.Index().Generation()
+	if snapshot != nil {
+		_ = r.Log.Restore(snapshot)
+	}
+	_, _ = r.Log.Append(changes)
+	if r.Log.Index().Generation() == before {
+		return false
+	}
+	r.recordGeneration(now, source)
+	return true
+}
+
 // inheritance returns the roster that a new coordinator starts from: the one at
 // hand, or all VMs that the platform and the seeds name. The lock is held.
 func (r *Registrar) inheritance() Roster {
@@ -333,17 +344,9 @@
 }
 
 // accept takes the answer to a heartbeat in.
-func (r *Registrar) accept(coordinator string, a Answer) {
+func (r *Registrar) accept(coordinator string, sent time.Time, a Answer) {
 	now := r.Clock.Now()
-	before := r.Log.Index().Generation()
-	if a.Snapshot != nil {
-		_ = r.Log.Restore(a.Snapshot)
-	}
-	if len(a.Changes) > 0 {
-		_, _ = r.Log.Append(a.Changes)
-	}
-	if r.Log.Index().Generation() != before {
-		r.recordGeneration(now, "the coordinator "+coordinator)
+	if r.adopt(now, a.Snapshot, a.Changes, "the coordinator "+coordinator) {
 		r.poke()
 	}
 	r.mu.Lock()
@@ -356,12 +359,20 @@
 		r.coordinator = nil
 	}
 	r.behind, r.behindSet = a.Generation, true
-	if a.StoreReachable && coordinator != r.self.ID {
-		r.storeSeen = now
-	}
+	r.heardOfStore(sent.Add(-a.StoreSilence))
 	r.install(a.Roster)
 }
 
+// heardOfStore notes a time at which somebody spoke to the store. The lock is held.
+//
+// Ages travel, not the fact of having been reached: a claim that is passed
+// round would otherwise never grow old.
+func (r *Registrar) heardOfStore(at time.Time) {
+	if at.After(r.storeSeen) {
+		r.storeSeen = at
+	}
+}
+
 // install takes a roster in. The lock is held.
 func (r *Registrar) install(roster Roster) {
 	same := slices.EqualFunc(r.roster.Members, roster.Members, sameDuties)
--- a/wirefaker/network.go
+++ b/wirefaker/network.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// dialTimeout bounds the opening of a connection, as the operating system does.
+const dialTimeout = 20 * time.Second
+
 // dial connects a place to an address; it takes a round trip.
 func (n *Network) dial(ctx context.Context, place string, to netip.AddrPort) (net.Conn, error) {
 	n.mu.Lock()
@@ -119,6 +122,8 @@
 	if l == nil {
 		return nil, eris.Errorf("connection to %s refused", to)
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	for _, way := range []link{{place, l.place}, {l.place, place}} {
 		if err := n.pass(ctx, way); err != nil {
 			return nil, err
