perf: one lock and no timers on the way back of an answer

Cause: an answer took the pool's lock four times and set two timers. Change: one settle step; bounds are set anew once a second.

--- a/acceptor/reply.go
+++ b/acceptor/reply.go
@@ -34,8 +34,11 @@
 	if len(s.out) == 0 {
 		return nil
 	}
-	if err := s.conn.SetWriteDeadline(time.Now().Add(s.acceptor.Settings.WriteTimeout)); err != nil {
-		return err
+	if now := time.Now(); now.Sub(s.deadlineSet) > deadlineEvery {
+		s.deadlineSet = now
+		if err := s.conn.SetWriteDeadline(now.Add(s.acceptor.Settings.WriteTimeout)); err != nil {
+			return err
+		}
 	}
 	_, err := s.conn.Write(s.out)
 	if cap(s.out) > keptBytes {
@@ -46,6 +49,9 @@
 	return err
 }
 
+// deadlineEvery is the time after which the bound of a write is set anew.
+const deadlineEvery = time.Second
+
 // keptBytes is the largest output buffer that an idle caller keeps.
 const keptBytes = 1 << 10
 
--- a/acceptor/session.go
+++ b/acceptor/session.go
@@ -37,10 +37,14 @@
 	portals    map[string]*statement
 	batch      pooler.Batch
 	readOnly   bool
-	ending     bool
-	skipping   bool
-	status     byte
-	out        []byte
+	// bounded reports that the wait for the next message is bounded.
+	bounded  bool
+	ending   bool
+	skipping bool
+	status   byte
+	out      []byte
+	// deadlineSet is when the bound of a write was last set.
+	deadlineSet time.Time
 
 	mu        sync.Mutex
 	work      Work
@@ -110,10 +114,8 @@
 	if err := s.parting(); err != nil {
 		return nil, err
 	}
-	if s.status != 'I' {
-		if err := s.conn.SetReadDeadline(time.Now().Add(s.acceptor.Settings.IdleTransactionTimeout)); err != nil {
-			return nil, err
-		}
+	if err := s.boundIdleTransaction(); err != nil {
+		return nil, err
 	}
 	m, err := s.backend.Receive()
 	if err == nil {
@@ -128,6 +130,26 @@
 	return nil, receiveError(err)
 }
 
+// boundIdleTransaction bounds the wait for the next message of a transaction,
+// and lifts the bound after it.
+func (s *session) boundIdleTransaction() error {
+	switch {
+	case s.status != 'I':
+		s.bounded = true
+		return s.conn.SetReadDeadline(time.Now().Add(s.acceptor.Settings.IdleTransactionTimeout))
+	case s.bounded:
+		s.bounded = false
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.farewell != nil {
+			return s.farewell
+		}
+		return s.conn.SetReadDeadline(time.Time{})
+	default:
+		return nil
+	}
+}
+
 // receiveError gives an error of the protocol its code.
 func receiveError(err error) error {
 	var long *pgproto3.ExceededMaxBodyLenErr
--- a/pooler/acquire.go
+++ b/pooler/acquire.go
@@ -344,11 +344,8 @@
 	return nil
 }
 
-// release takes the connection of a work back.
-func (p *Pool) release(w *Work) {
-	now := p.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// release takes the connection of a work back. The lock is held.
+func (p *Pool) release(now time.Time, w *Work) {
 	if p.state != Owning {
 		w.conn.tainted = true
 	}
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -32,9 +32,11 @@
 	prepared     map[string]bool
 	position     tracker.Position
 	idleSince    time.Time
-	out          []byte
-	expected     []expectation
-	at           int
+	// bounded is when the bound of an answer was last set.
+	bounded  time.Time
+	out      []byte
+	expected []expectation
+	at       int
 	// tainted means that the connection must not be used again.
 	tainted bool
 }
@@ -78,9 +80,23 @@
 	if n > 0 || !ok || !timeout.Timeout() {
 		return false
 	}
+	c.bounded = time.Time{}
 	return c.net.SetReadDeadline(time.Time{}) == nil
 }
 
+// boundEvery is the time after which the bound of an answer is set anew.
+const boundEvery = time.Second
+
+// bound bounds the wait for an answer; zero is no bound.
+func (c *conn) bound(timeout time.Duration) error {
+	now := time.Now()
+	if timeout <= 0 || now.Sub(c.bounded) < boundEvery {
+		return nil
+	}
+	c.bounded = now
+	return c.net.SetReadDeadline(now.Add(timeout))
+}
+
 // close ends the connection.
 func (c *conn) close() {
 	_ = c.net.Close()
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -169,22 +169,6 @@
 	p.buffers.Put(&b)
 }
 
-// learn takes the position that an instance reported with an answer.
-func (p *Pool) learn(id string, asked time.Time, at tracker.Position) {
-	now := p.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.tracker.ObservePosition(id, asked, now, at)
-}
-
-// serves reports whether an answer at a position still satisfies an ask.
-func (p *Pool) serves(a Ask, at tracker.Position) bool {
-	now := p.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.tracker.Serves(now, tracker.Need{Required: a.Required, MaxStaleness: p.staleness(a.Organisation)}, at)
-}
-
 // record leaves an event. The lock may be held.
 func (p *Pool) record(now time.Time, kind, reason string, epoch uint64, inputs ...explainer.Input) {
 	p.Recorder.Record(explainer.Event{At: now, Kind: kind, Subject: p.settings.Name, Reason: reason, Epoch: epoch, Inputs: inputs})
--- a/pooler/work.go
+++ b/pooler/work.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
 // Work is one unit of work at the owner of the pool: one batch, or the batches
@@ -38,7 +39,6 @@
 		w.abandon()
 		return Result{}, broken(b, a, w.ask, err)
 	}
-	w.finish()
 	return w.conclude(ctx, b, a)
 }
 
@@ -49,10 +49,8 @@
 
 // converse sends the batch and receives its answer.
 func (w *Work) converse(b *Batch, a *answer) error {
-	if t := w.pool.settings.StatementTimeout; t > 0 {
-		if err := w.conn.net.SetReadDeadline(time.Now().Add(t)); err != nil {
-			return err
-		}
+	if err := w.conn.bound(w.pool.settings.StatementTimeout); err != nil {
+		return err
 	}
 	group, err := w.conn.send(w.ask.Organisation, b)
 	if err != nil {
@@ -86,16 +84,12 @@
 		Primary:           w.primary,
 		Failed:            a.failure != "",
 	}
-	w.pool.learn(w.instance.id, a.asked, r.Position)
 	idle := a.status == 'I'
-	w.open = !idle
-	if idle {
-		w.Close()
-	}
+	valid := w.settle(a, r)
 	if refusedByReplica(a) {
 		return Result{}, coder.New(coder.ReplicaRefused, "the instance takes no writes")
 	}
-	if w.ask.ReadOnly && !w.ask.Unknown && !r.Failed && !w.pool.serves(w.ask, r.Position) {
+	if !valid {
 		return Result{}, w.outdated(a)
 	}
 	if idle && w.primary && a.committed && (b.Writes || w.confirms()) {
@@ -111,6 +105,27 @@
 	return r, nil
 }
 
+// settle takes an answer in: the slot is free again, outside a transaction the
+// connection too, and the position is known. It reports whether a read still
+// satisfies its session.
+func (w *Work) settle(a *answer, r Result) (valid bool) {
+	p := w.pool
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.instance.finish(now, w.ask.Organisation, now.Sub(w.began))
+	w.paused = now
+	w.open = a.status != 'I'
+	p.tracker.ObservePosition(w.instance.id, a.asked, now, r.Position)
+	if !w.open {
+		p.release(now, w)
+	}
+	if !w.ask.ReadOnly || w.ask.Unknown || r.Failed {
+		return true
+	}
+	return p.tracker.Serves(now, tracker.Need{Required: w.ask.Required, MaxStaleness: p.staleness(w.ask.Organisation)}, r.Position)
+}
+
 // refusedByReplica reports whether an instance that takes no writes, or no
 // longer does, refused a statement; nothing ran.
 func refusedByReplica(a *answer) bool {
@@ -134,15 +149,19 @@
 	if w.open {
 		w.rollback()
 	}
-	w.pool.release(w)
+	w.letGo()
+}
+
+// letGo gives the connection back.
+func (w *Work) letGo() {
+	now := w.pool.clock.Now()
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.pool.release(now, w)
 }
 
 // rollback ends a transaction that its caller left open.
 func (w *Work) rollback() {
-	if err := w.conn.net.SetReadDeadline(time.Now().Add(rollbackFor)); err != nil {
-		w.conn.tainted = true
-		return
-	}
 	b := &Batch{Steps: []Step{{Kind: Query, Raw: encode(nil, &pgproto3.Query{String: "rollback"})}}}
 	a := &answer{conn: w.conn, sink: discard{}}
 	if err := w.converse(b, a); err != nil || a.status != 'I' {
@@ -150,9 +169,6 @@
 	}
 }
 
-// rollbackFor bounds the rollback of an abandoned transaction.
-const rollbackFor = 2 * time.Second
-
 // discard is a Sink that drops everything.
 type discard struct{}
 
@@ -163,7 +179,7 @@
 func (w *Work) abandon() {
 	w.conn.tainted = true
 	w.finish()
-	w.pool.release(w)
+	w.letGo()
 }
 
 // finish gives the slot back while the connection is kept.
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -143,3 +143,23 @@
 	}
 	return edits
 }
+
+// unlimitedRate is a rate that no benchmark reaches.
+const unlimitedRate = 10_000_000
+
+// UnlimitedEdits returns a change after which an organisation's rate limits nothing.
+func UnlimitedEdits(organisation string) []governor.Edit {
+	rate, burst := float64(unlimitedRate), float64(unlimitedRate)
+	return []governor.Edit{
+		{Kind: governor.PutTemplate, Object: "unlimited", Template: &governor.Template{
+			Name:      "unlimited",
+			Rate:      governor.NumberBound{Default: rate, Min: 1, Max: rate},
+			Burst:     governor.NumberBound{Default: burst, Min: 1, Max: burst},
+			Staleness: governor.DurationBound{Default: governor.Duration{Duration: 5 * time.Second}, Max: governor.Duration{Duration: time.Minute}},
+		}},
+		{Kind: governor.PutRoute, Route: &governor.Route{Database: "members-1", Group: "members-1"}},
+		{Kind: governor.PutOrganisation, Object: organisation, Organisation: &governor.Organisation{
+			Name: organisation, Template: "unlimited", Rate: &rate, Burst: &burst, Databases: []string{"members-1"},
+		}},
+	}
+}
--- a/stager/fleet.go
+++ b/stager/fleet.go
@@ -53,6 +53,8 @@
 	ListenPlatform func() (net.Listener, error)
 	// OnExecute is told of every execution at an endpoint; nil is nobody.
 	OnExecute func(group string, e endpointfaker.Execution)
+	// RealEndpoints gives the listeners of the first group's instances; nil is in memory.
+	RealEndpoints func(n int) net.Listener
 	// Settings changes the settings of a VM before it starts; nil leaves them.
 	Settings func(s *loader.Settings)
 }
@@ -221,7 +223,7 @@
 // startGroup starts the endpoints of a group.
 func (f *Fleet) startGroup(g *endpointfaker.Group) error {
 	for n, i := range g.Instances() {
-		l, err := f.Network.Listen(i.ID(), f.address(g, n))
+		l, err := f.listenEndpoint(g, n)
 		if err != nil {
 			return err
 		}
@@ -231,6 +233,14 @@
 	return nil
 }
 
+// listenEndpoint opens the listener of the n-th instance of a group.
+func (f *Fleet) listenEndpoint(g *endpointfaker.Group, n int) (net.Listener, error) {
+	if f.options.RealEndpoints != nil && g == f.Groups[0] {
+		return f.options.RealEndpoints(n), nil
+	}
+	return f.Network.Listen(g.Instances()[n].ID(), f.address(g, n))
+}
+
 // address returns the address of the n-th instance of a group.
 func (f *Fleet) address(g *endpointfaker.Group, n int) netip.AddrPort {
 	for i := range f.Groups {
@@ -410,7 +420,7 @@
 			}
 			return wirefaker.Merge(l, outside), nil
 		},
-		Dial:        f.Network.Dialer(vm.ID),
+		Dial:        f.dialer(vm.ID),
 		Store:       f.transport(vm.ID),
 		Clock:       f.options.Clock,
 		Log:         f.options.Log,
@@ -418,6 +428,21 @@
 	}
 }
 
+// dialer returns the dial function of a VM; real endpoints are dialled for real.
+func (f *Fleet) dialer(vm string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	staged := f.Network.Dialer(vm)
+	if f.options.RealEndpoints == nil {
+		return staged
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		to, err := netip.ParseAddrPort(addr)
+		if err == nil && to.Addr() == netip.AddrFrom4([4]byte{127, 0, 0, 1}) {
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}
+		return staged(ctx, network, addr)
+	}
+}
+
 // Kill ends a VM as a failure does: nothing is finished.
 func (f *Fleet) Kill(id string) {
 	vm := f.remove(id)
