--- a/acceptor/reply.go
+++ b/acceptor/reply.go
@@ -53,7 +53,7 @@
 const deadlineEvery = time.Second
 
 // keptBytes is the largest output buffer that an idle caller keeps.
-const keptBytes = 1 << 10
+const keptBytes = 1 << 9
 
 // Frames passes frames of an answer on to the caller.
 func (s *session) Frames(raw []byte) error {
--- a/acceptor/run.go
+++ b/acceptor/run.go
@@ -89,7 +89,8 @@
 	if r.TransactionStatus != 'I' || !r.Primary || r.Position == (tracker.Position{}) {
 		return false
 	}
-	if !r.Wrote && !(s.unknown && !r.Failed) {
+	learned := s.unknown && !r.Failed
+	if !r.Wrote && !learned {
 		return false
 	}
 	if s.required.Before(r.Position) {
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -24,7 +24,7 @@
 	var f demonstrator.Figures
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var out io.Writer = io.Discard
+		out := io.Discard
 		if testing.Verbose() {
 			out = os.Stdout
 		}
--- a/demonstrator/tally.go
+++ b/demonstrator/tally.go
@@ -20,9 +20,6 @@
 	notRun        map[string]bool
 	cross         int
 	stale         int
-	replicaReads  int
-	primaryReads  int
-	primaries     map[string]bool
 	acks          map[string][]time.Time
 }
 
@@ -42,7 +39,6 @@
 		replaced:      map[string]bool{},
 		acknowledged:  map[string]bool{},
 		notRun:        map[string]bool{},
-		primaries:     map[string]bool{},
 		acks:          map[string][]time.Time{},
 	}
 }
--- a/endpointfaker/execution.go
+++ b/endpointfaker/execution.go
@@ -49,7 +49,7 @@
 	}
 	replaced := s.instance.group.replaced(s.instance, tx.term)
 	if !tx.explicit {
-		if _, err := tx.commit(time.Now()); err != nil {
+		if err := tx.commit(time.Now()); err != nil {
 			return err
 		}
 		if r.wrote {
@@ -120,7 +120,7 @@
 		tx.release()
 		return result{tag: "ROLLBACK"}, nil
 	}
-	if _, err := tx.commit(time.Now()); err != nil {
+	if err := tx.commit(time.Now()); err != nil {
 		return result{}, err
 	}
 	if len(tx.operations) > 0 {
--- a/endpointfaker/instance.go
+++ b/endpointfaker/instance.go
@@ -283,11 +283,11 @@
 }
 
 // commit appends a transaction to the log of a primary that still leads term.
-func (i *Instance) commit(now time.Time, term uint64, operations []operation, marks []string) (tracker.Position, bool) {
+func (i *Instance) commit(now time.Time, term uint64, operations []operation, marks []string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.primary || i.history.Term() != term {
-		return tracker.Position{}, false
+		return false
 	}
 	if len(operations) > 0 {
 		e := entry{term: term, operations: operations, marks: marks}
@@ -295,7 +295,7 @@
 		i.committed = append(i.committed, now)
 		i.data.apply(e)
 	}
-	return i.position(), true
+	return true
 }
 
 // Marks returns the marks of all committed writes in the order of the log.
--- a/endpointfaker/transaction.go
+++ b/endpointfaker/transaction.go
@@ -1,10 +1,6 @@
 package endpointfaker
 
-import (
-	"time"
-
-	"github.com/marigoldgauge/marigoldgauge/tracker"
-)
+import "time"
 
 // transaction is the work of a session that is not committed yet.
 type transaction struct {
@@ -87,13 +83,12 @@
 }
 
 // commit puts the transaction into the log.
-func (t *transaction) commit(now time.Time) (tracker.Position, error) {
+func (t *transaction) commit(now time.Time) error {
 	defer t.release()
-	p, ok := t.instance.commit(now, t.term, t.operations, t.marks)
-	if len(t.operations) > 0 && !ok {
-		return p, failure("57P01", "the instance no longer leads term")
+	if !t.instance.commit(now, t.term, t.operations, t.marks) && len(t.operations) > 0 {
+		return failure("57P01", "the instance no longer leads its term")
 	}
-	return p, nil
+	return nil
 }
 
 // release lets the next transaction write.
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -94,6 +94,8 @@
 		Member:                   memberOut(b.Member),
 		Generation:               b.Member.Generation,
 		Snapshot:                 b.Snapshot,
+		RosterVersion:            b.RosterVersion,
+		Coordinator:              b.Coordinator,
 		Changes:                  b.Changes,
 		Suspects:                 b.Suspects,
 		StoreSilenceMicroseconds: b.StoreSilence.Microseconds(),
@@ -106,6 +108,8 @@
 		Generation:   reply.GetGeneration(),
 		Snapshot:     reply.GetSnapshot(),
 		Changes:      reply.GetChanges(),
+		Unchanged:    reply.GetUnchanged(),
+		Coordinator:  reply.GetCoordinator(),
 		StoreSilence: time.Duration(reply.GetStoreSilenceMicroseconds()) * time.Microsecond,
 	}
 	for _, m := range reply.GetMembers() {
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -56,19 +56,26 @@
 // Beat answers a heartbeat.
 func (s *Server) Beat(_ context.Context, m *messenger.BeatRequest) (*messenger.BeatReply, error) {
 	a := s.beats.Handle(registrar.Beat{
-		Member:       memberIn(m.GetMember()),
-		Snapshot:     m.GetSnapshot(),
-		Changes:      m.GetChanges(),
-		Suspects:     m.GetSuspects(),
-		StoreSilence: time.Duration(m.GetStoreSilenceMicroseconds()) * time.Microsecond,
+		Member:        memberIn(m.GetMember()),
+		Snapshot:      m.GetSnapshot(),
+		RosterVersion: m.GetRosterVersion(),
+		Coordinator:   m.GetCoordinator(),
+		Changes:       m.GetChanges(),
+		Suspects:      m.GetSuspects(),
+		StoreSilence:  time.Duration(m.GetStoreSilenceMicroseconds()) * time.Microsecond,
 	})
 	reply := &messenger.BeatReply{
 		RosterVersion:            a.Roster.Version,
 		Generation:               a.Generation,
 		Snapshot:                 a.Snapshot,
 		Changes:                  a.Changes,
+		Unchanged:                a.Unchanged,
+		Coordinator:              a.Coordinator,
 		StoreSilenceMicroseconds: a.StoreSilence.Microseconds(),
 	}
+	if a.Unchanged {
+		return reply, nil
+	}
 	for _, member := range a.Roster.Members {
 		reply.Members = append(reply.Members, memberOut(member))
 	}
--- a/loader/defaults.go
+++ b/loader/defaults.go
@@ -18,7 +18,7 @@
 	fill(&e.Database, "marigoldgauge")
 	fill(&e.ConnectTimeout, time.Second)
 	fill(&e.StatementTimeout, time.Minute)
-	fill(&e.ProbeInterval, 100*time.Millisecond)
+	fill(&e.ProbeInterval, 150*time.Millisecond)
 	fill(&e.RateWait, 100*time.Millisecond)
 	fill(&e.QueueLength, 1000)
 	for i := range s.Groups {
--- a/pooler/acquire.go
+++ b/pooler/acquire.go
@@ -262,14 +262,14 @@
 	if item == nil {
 		return nil
 	}
-	return p.wait(ctx, w, item, deadline)
+	return p.wait(ctx, w, item)
 }
 
 // errMoved means that another instance must serve a request.
 var errMoved = errors.New("another instance must serve the request")
 
 // wait waits until the queue grants or refuses a request.
-func (p *Pool) wait(ctx context.Context, w *Work, item *scheduler.Item, deadline time.Time) error {
+func (p *Pool) wait(ctx context.Context, w *Work, item *scheduler.Item) error {
 	granted := false
 	select {
 	case granted = <-item.Granted():
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -76,8 +77,8 @@
 	}
 	var one [1]byte
 	n, err := c.net.Read(one[:])
-	timeout, ok := err.(net.Error)
-	if n > 0 || !ok || !timeout.Timeout() {
+	var timeout net.Error
+	if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 		return false
 	}
 	c.bounded = time.Time{}
--- a/pooler/instance.go
+++ b/pooler/instance.go
@@ -73,12 +73,12 @@
 	if err := i.queue.Push(now, item, i.window.Size()); err != nil {
 		return nil, err
 	}
-	i.dispatch(now)
+	i.dispatch()
 	return item, nil
 }
 
 // dispatch starts the requests that go next.
-func (i *instance) dispatch(now time.Time) {
+func (i *instance) dispatch() {
 	for i.queue.Len() > 0 && i.free() {
 		item := i.queue.Pop(i.may)
 		if item == nil {
@@ -109,7 +109,7 @@
 	i.window.Observe(now, took, i.queue.Len() > 0)
 	i.queue.Done(organisation, max(took-i.rtt, 0))
 	i.running--
-	i.dispatch(now)
+	i.dispatch()
 }
 
 // put takes back a connection; nil is one that could not be opened.
@@ -127,7 +127,7 @@
 			i.idle = append(i.idle, c)
 		}
 	}
-	i.dispatch(now)
+	i.dispatch()
 }
 
 // score estimates how long a read would take here.
--- a/pooler/takeover.go
+++ b/pooler/takeover.go
@@ -179,7 +179,7 @@
 				i.limit = max(i.limit-u.Connections, 1)
 			}
 		}
-		i.dispatch(p.clock.Now())
+		i.dispatch()
 	}
 }
 
--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -10,6 +10,10 @@
 	Changes [][]byte
 	// Snapshot is a whole configuration, where changes do not suffice.
 	Snapshot []byte
+	// RosterVersion is the version of the roster that the sender has.
+	RosterVersion uint64
+	// Coordinator is the incarnation of the coordinator that it came from.
+	Coordinator uint64
 	// Suspects are VMs that do not answer the sender.
 	Suspects []string
 	// StoreSilence is the time since the sender, or one that told it, last spoke to the platform's store.
@@ -18,8 +22,12 @@
 
 // Answer is the answer to a heartbeat.
 type Answer struct {
-	// Roster is the roster at hand.
+	// Roster is the roster at hand, without members when the sender has it.
 	Roster Roster
+	// Unchanged reports that the sender has the roster.
+	Unchanged bool
+	// Coordinator is the incarnation of the coordinator.
+	Coordinator uint64
 	// Generation is the generation in force at the coordinator.
 	Generation uint64
 	// Snapshot is a whole configuration, where changes do not suffice.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -85,6 +85,7 @@
 	suspects    map[string]time.Time
 	coordinator *Coordinator
 	coordinates string
+	rosterFrom  uint64
 	storeSeen   time.Time
 	behind      uint64
 	behindSet   bool
@@ -236,7 +237,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.Generation = generation
-	b := Beat{Member: r.self, StoreSilence: now.Sub(r.storeSeen)}
+	b := Beat{Member: r.self, StoreSilence: now.Sub(r.storeSeen), RosterVersion: r.roster.Version, Coordinator: r.rosterFrom}
 	for id, at := range r.suspects {
 		if now.Sub(at) > suspectFor {
 			delete(r.suspects, id)
@@ -306,6 +307,10 @@
 		Roster:       r.coordinator.Roster(now),
 		Generation:   r.Log.Index().Generation(),
 		StoreSilence: now.Sub(r.storeSeen),
+		Coordinator:  r.self.Incarnation,
+	}
+	if a.Roster.Version == b.RosterVersion && b.Coordinator == a.Coordinator {
+		a.Unchanged = true
 	}
 	if snapshot, changes, err := r.Log.Since(b.Member.Generation); err == nil {
 		a.Snapshot, a.Changes = snapshot, changes
@@ -360,7 +365,10 @@
 	}
 	r.behind, r.behindSet = a.Generation, true
 	r.heardOfStore(sent.Add(-a.StoreSilence))
-	r.install(a.Roster)
+	if !a.Unchanged {
+		r.rosterFrom = a.Coordinator
+		r.install(a.Roster)
+	}
 }
 
 // heardOfStore notes a time at which somebody spoke to the store. The lock is held.
