--- a/cmd/main.go
+++ b/cmd/main.go
@@ -54,6 +54,7 @@
 	Dump         dumpCmd                      `cmd:"" help:"Show the state of a process."`
 	Explain      explainCmd                   `cmd:"" help:"Explain the last decisions of a process."`
 	Codes        codesCmd                     `cmd:"" help:"Show the result code table."`
+	Capacity     capacityCmd                  `cmd:"" help:"Work out the needs at the size of two years from now."`
 	Demo         demoCmd                      `cmd:"" help:"Run a small fleet on stand-ins under load."`
 	Completion   kongplete.InstallCompletions `cmd:"" help:"Print how to install shell completions."`
 }
--- /dev/null
+++ b/forwarder/beat_test.go
@@ -0,0 +1,120 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/forwarder"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/registrar"
+)
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// coordinator returns a registrar that coordinates, and an address where it serves.
+func coordinator(ctx context.Context, tb testing.TB) (*registrar.Registrar, netip.AddrPort) {
+	tb.Helper()
+	r := registrar.New(registrar.Parts{
+		Self:     registrar.Member{ID: "vm-0", Incarnation: 1},
+		Log:      governor.NewLog(),
+		Clock:    clocker.Func(time.Now),
+		Recorder: explainer.New(nil),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	server := forwarder.NewServer(func(string) *pooler.Pool { return nil }, r, nil)
+	go func() { _ = server.Serve(ctx, l) }()
+	return r, netip.MustParseAddrPort(l.Addr().String())
+}
+
+// beat returns the heartbeat of a VM.
+func beat(n int) registrar.Beat {
+	return registrar.Beat{Member: registrar.Member{
+		ID: fmt.Sprintf("vm-%04d", n), Address: netip.MustParseAddrPort("10.0.0.1:7400"), AvailabilityZone: "zuerich-a", Incarnation: 1764806400000000000,
+	}}
+}
+
+func TestRosterTravelsOnlyWhenChanged(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, at := coordinator(ctx, t)
+	r.Handle(beat(2))
+	caller := forwarder.NewCaller((&net.Dialer{}).DialContext)
+	defer func() { _ = caller.Close() }()
+	b := beat(1)
+	first, err := caller.Beat(ctx, at, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.Roster.Members).To(HaveLen(2))
+	b.RosterVersion, b.Coordinator = first.Roster.Version, first.Coordinator
+	again, err := caller.Beat(ctx, at, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Unchanged).To(BeTrue())
+	g.Expect(again.Roster.Members).To(BeEmpty())
+	r.Handle(beat(3))
+	changed, err := caller.Beat(ctx, at, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed.Roster.Members).To(HaveLen(3))
+}
+
+// BenchmarkBeat measures a heartbeat in a cell of some VMs: time and bytes on
+// the wire, without and with a change of the roster.
+func BenchmarkBeat(b *testing.B) {
+	for _, changed := range []bool{false, true} {
+		for _, n := range []int{1, 10, 64} {
+			b.Run(fmt.Sprintf("changed=%t vms=%d", changed, n), func(b *testing.B) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				r, at := coordinator(ctx, b)
+				for i := range n {
+					r.Handle(beat(i))
+				}
+				var bytes atomic.Int64
+				caller := forwarder.NewCaller(func(ctx context.Context, network, addr string) (net.Conn, error) {
+					c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+					return counted{c, &bytes}, err
+				})
+				defer func() { _ = caller.Close() }()
+				m := beat(0)
+				for range b.N {
+					a, err := caller.Beat(ctx, at, m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if !changed {
+						m.RosterVersion, m.Coordinator = a.Roster.Version, a.Coordinator
+					}
+				}
+				b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/beat")
+			})
+		}
+	}
+}
