--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -56,9 +56,9 @@
 // member is what every VM does to take part.
 func member(r *reader, z Size) Role {
 	beat := r.get("BenchmarkBeat/changed=false_vms=64", "B/beat") + packetBytes
-	roster := z.RosterChanges / secondsPerDay * z.Nodes * memberBytes
+	roster := z.RosterChanges / secondsPerDay * memberBytes
 	return Role{
-		Name: "member", State: "roster of the fleet", Mechanism: "heartbeat to the coordinator every 200 ms; the roster travels when it changed",
+		Name: "member", State: "roster of the fleet", Mechanism: "heartbeat to the coordinator, every 200 ms in a cell of up to 12 VMs and every second in one of 64; differences of the roster travel in the answers",
 		Core:   beatsPerSecond*r.seconds("BenchmarkBeat/changed=false_vms=64")/2 + z.Groups/z.Nodes*10*r.seconds("BenchmarkOwner/vms=1000")*z.Nodes/1000,
 		Memory: z.Nodes * 4 * memberBytes, Messages: 2 * beatsPerSecond, Bytes: beatsPerSecond*beat + roster,
 		Control: true, Source: "BenchmarkBeat, BenchmarkOwner",
@@ -69,7 +69,7 @@
 func coordinator(r *reader, z Size) Role {
 	beats := beatsPerSecond * z.CellNodes
 	beat := r.get("BenchmarkBeat/changed=false_vms=64", "B/beat") + packetBytes
-	roster := z.RosterChanges / secondsPerDay * z.Nodes * memberBytes * z.CellNodes
+	roster := z.RosterChanges / secondsPerDay * memberBytes * z.CellNodes
 	return Role{
 		Name: "coordinator (one VM of 64)", State: "last heartbeat of each VM of the cell", Mechanism: "one watch of the store for the cell, fanned out in the answers to heartbeats",
 		Core:   beats * (r.seconds("BenchmarkBeat/changed=false_vms=64")/2 + r.seconds("BenchmarkRoster/vms=100")),
--- a/estimator/size.go
+++ b/estimator/size.go
@@ -48,8 +48,8 @@
 }
 
 const (
-	// beatsPerSecond is the number of heartbeats of a VM.
-	beatsPerSecond = 5
+	// beatsPerSecond is the number of heartbeats of a VM in a full cell.
+	beatsPerSecond = 1
 	// probesPerSecond is the number of status requests to one instance.
 	probesPerSecond = 1 / 0.150
 	// instances is the number of instances of a group.
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -108,7 +108,8 @@
 		Generation:   reply.GetGeneration(),
 		Snapshot:     reply.GetSnapshot(),
 		Changes:      reply.GetChanges(),
-		Unchanged:    reply.GetUnchanged(),
+		Difference:   reply.GetDifference(),
+		Gone:         reply.GetGone(),
 		Coordinator:  reply.GetCoordinator(),
 		StoreSilence: time.Duration(reply.GetStoreSilenceMicroseconds()) * time.Microsecond,
 	}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -69,13 +69,11 @@
 		Generation:               a.Generation,
 		Snapshot:                 a.Snapshot,
 		Changes:                  a.Changes,
-		Unchanged:                a.Unchanged,
+		Difference:               a.Difference,
+		Gone:                     a.Gone,
 		Coordinator:              a.Coordinator,
 		StoreSilenceMicroseconds: a.StoreSilence.Microseconds(),
 	}
-	if a.Unchanged {
-		return reply, nil
-	}
 	for _, member := range a.Roster.Members {
 		reply.Members = append(reply.Members, memberOut(member))
 	}
--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -22,10 +22,12 @@
 
 // Answer is the answer to a heartbeat.
 type Answer struct {
-	// Roster is the roster at hand, without members when the sender has it.
+	// Roster is the roster at hand, or the members that changed since the one that the sender has.
 	Roster Roster
-	// Unchanged reports that the sender has the roster.
-	Unchanged bool
+	// Difference reports that Roster holds the changed members only.
+	Difference bool
+	// Gone are the members that went since.
+	Gone []string
 	// Coordinator is the incarnation of the coordinator.
 	Coordinator uint64
 	// Generation is the generation in force at the coordinator.
--- a/registrar/coordinator_test.go
+++ b/registrar/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -81,6 +82,45 @@
 	g.Expect(last.ID).To(Equal(second.ID), "an unfit VM is better than none, a leaving one is not")
 }
 
+// A member that applies differences has the same roster as one that gets it whole.
+func TestDifferencesAddUp(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 3))
+	now := start
+	c := registrar.NewCoordinator(now, registrar.Roster{})
+	var mine registrar.Roster
+	for n := range 2000 {
+		now = now.Add(100 * time.Millisecond)
+		for i := range 12 {
+			if random.IntN(12) != 0 {
+				m := member(fmt.Sprintf("vm-%02d", i))
+				m.Leaving = random.IntN(10) == 0
+				c.Beat(now, m)
+			}
+		}
+		whole := c.Roster(now)
+		if random.IntN(3) == 0 {
+			continue
+		}
+		members, gone, ok := c.Since(mine.Version)
+		if !ok {
+			mine = whole
+			continue
+		}
+		mine = mine.Apply(registrar.Roster{Version: whole.Version, Members: members}, gone)
+		g.Expect(ids(mine)).To(Equal(ids(whole)), "round %d", n)
+		for i := range mine.Members {
+			g.Expect(mine.Members[i].Leaving).To(Equal(whole.Members[i].Leaving))
+		}
+	}
+}
+
+func TestLargeCellsBeatLess(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(registrar.Interval(9)).To(Equal(200 * time.Millisecond))
+	g.Expect(registrar.Interval(64)).To(Equal(time.Second))
+}
+
 func BenchmarkRoster(b *testing.B) {
 	for _, n := range []int{1, 10, 100, 1000} {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// beatEvery is the time between two heartbeats.
-	beatEvery = 200 * time.Millisecond
+	// retryEvery is the time between two attempts to reach the store.
+	retryEvery = 400 * time.Millisecond
 	// beatTimeout bounds a heartbeat.
 	beatTimeout = 300 * time.Millisecond
 	// avoidFor is how long a VM that did not answer is passed over.
@@ -194,14 +194,15 @@
 
 // beat sends heartbeats at intervals.
 func (r *Registrar) beat(ctx context.Context) error {
-	ticker := time.NewTicker(beatEvery)
-	defer ticker.Stop()
 	for {
 		r.beatOnce(ctx)
+		timer := time.NewTimer(Interval(len(r.Roster().Members)))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-r.kick:
+			timer.Stop()
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
 		}
 	}
@@ -309,8 +310,10 @@
 		StoreSilence: now.Sub(r.storeSeen),
 		Coordinator:  r.self.Incarnation,
 	}
-	if a.Roster.Version == b.RosterVersion && b.Coordinator == a.Coordinator {
-		a.Unchanged = true
+	if b.Coordinator == a.Coordinator {
+		if members, gone, ok := r.coordinator.Since(b.RosterVersion); ok {
+			a.Difference, a.Roster.Members, a.Gone = true, members, gone
+		}
 	}
 	if snapshot, changes, err := r.Log.Since(b.Member.Generation); err == nil {
 		a.Snapshot, a.Changes = snapshot, changes
@@ -365,10 +368,11 @@
 	}
 	r.behind, r.behindSet = a.Generation, true
 	r.heardOfStore(sent.Add(-a.StoreSilence))
-	if !a.Unchanged {
-		r.rosterFrom = a.Coordinator
-		r.install(a.Roster)
+	if a.Difference {
+		a.Roster = r.roster.Apply(a.Roster, a.Gone)
 	}
+	r.rosterFrom = a.Coordinator
+	r.install(a.Roster)
 }
 
 // heardOfStore notes a time at which somebody spoke to the store. The lock is held.
@@ -429,13 +433,13 @@
 	for ctx.Err() == nil {
 		if !r.watching() {
 			loaded = false
-			r.pause(ctx, beatEvery)
+			r.pause(ctx, retryEvery/2)
 			continue
 		}
 		if !loaded {
 			revision, err := r.load(ctx, board)
 			if err != nil {
-				r.pause(ctx, beatEvery*2)
+				r.pause(ctx, retryEvery)
 				continue
 			}
 			loaded, after = true, revision
@@ -443,7 +447,7 @@
 		page, err := r.Store.Watch(ctx, governor.ChangePrefix, after, watchFor)
 		switch {
 		case err != nil:
-			r.pause(ctx, beatEvery*2)
+			r.pause(ctx, retryEvery)
 		case page.TooOld:
 			loaded = false
 		default:
--- a/registrar/roster.go
+++ b/registrar/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/marigoldgauge/marigoldgauge/placer"
 )
@@ -24,6 +25,22 @@
 	return Member{}, false
 }
 
+// Apply returns the roster after a difference: some members came or changed, and some went.
+func (r Roster) Apply(difference Roster, gone []string) Roster {
+	if len(difference.Members) == 0 && len(gone) == 0 {
+		return Roster{Version: difference.Version, Members: r.Members}
+	}
+	out := Roster{Version: difference.Version}
+	for _, m := range r.Members {
+		if _, changed := difference.Member(m.ID); !changed && !slices.Contains(gone, m.ID) {
+			out.Members = append(out.Members, m)
+		}
+	}
+	out.Members = append(out.Members, difference.Members...)
+	slices.SortFunc(out.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Owner returns the VM that should own the pool of a group.
 //
 // A VM that is leaving, or that cannot reach the group's primary, is passed
