--- /dev/null
+++ b/acceptor/fuzz_test.go
@@ -0,0 +1,105 @@
+package acceptor_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/acceptor"
+	"github.com/marigoldgauge/marigoldgauge/authenticator"
+	"github.com/marigoldgauge/marigoldgauge/classifier"
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+	"github.com/marigoldgauge/marigoldgauge/signer"
+)
+
+// refuser is an Opener whose work is never run.
+type refuser struct{ t *testing.T }
+
+func (r refuser) Open(pooler.Ask) acceptor.Work {
+	r.t.Error("a caller without a key got a unit of work")
+	return nil
+}
+
+// one is a listener that gives one connection.
+type one struct {
+	conn chan net.Conn
+	done chan struct{}
+}
+
+func (l one) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conn:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l one) Close() error {
+	select {
+	case <-l.done:
+	default:
+		close(l.done)
+	}
+	return nil
+}
+
+func (l one) Addr() net.Addr { return &net.TCPAddr{} }
+
+// FuzzStartup feeds bytes to the start-up path: it ends, and nobody gets in without a key.
+func FuzzStartup(f *testing.F) {
+	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "k", "database": "d"}}).Encode(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	query, err := (&pgproto3.Query{String: "select 1"}).Encode(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(startup)
+	f.Add(append(startup, query...))
+	f.Add([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	f.Add([]byte{0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2})
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a := acceptor.New(acceptor.Parts{
+			Settings:      acceptor.Settings{VM: "vm-1", StartupTimeout: time.Second, WriteTimeout: time.Second, MaxMessageBytes: 1 << 20},
+			Clock:         clocker.Func(time.Now),
+			Configuration: governor.NewLog(),
+			Opener:        refuser{t},
+			Classifier:    classifier.New(),
+			Authenticator: authenticator.New([]byte("decoy-of-the-fuzz-test")),
+			Signer:        signer.New([]signer.Secret{{ID: "s", Value: []byte("secret-of-the-fuzz-test")}}),
+			Recorder:      explainer.New(nil),
+		})
+		client, server := net.Pipe()
+		l := one{conn: make(chan net.Conn, 1), done: make(chan struct{})}
+		l.conn <- server
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return a.Serve(ctx, l) })
+		group.Go(func() error {
+			buffer := make([]byte, 4096)
+			for {
+				if _, err := client.Read(buffer); err != nil {
+					return nil
+				}
+			}
+		})
+		_ = client.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = client.Write(raw)
+		_ = client.Close()
+		cancel()
+		_ = group.Wait()
+		if a.Callers() != 0 {
+			t.Error("a caller is left")
+		}
+	})
+}
--- a/estimator/size.go
+++ b/estimator/size.go
@@ -63,7 +63,7 @@
 	// changeBytes is the size of one accepted change.
 	changeBytes = 600
 	// storeCallsPerCell is the number of calls a second of an idle cell.
-	storeCallsPerCell = 2 * (1/4.0 + 1/30.0)
+	storeCallsPerCell = 1/2.0 + 1/6.0 + 2/30.0
 	// writesPerChange is the number of writes of a change besides the reports of cells.
 	writesPerChange = 2
 	// reportsPerChange is the number of reports of one cell about a change.
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -1,6 +1,7 @@
 package pooler
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -286,6 +287,9 @@
 	return err
 }
 
+// rollbackTag begins the tag of a transaction that was not committed.
+var rollbackTag = []byte("ROLLBACK")
+
 // executed handles the end of a statement.
 func (a *answer) executed(f framer.Frame) error {
 	e := a.next()
@@ -293,7 +297,7 @@
 		a.advance()
 		return nil
 	}
-	a.committed = true
+	a.committed = a.committed || !bytes.HasPrefix(f.Body(), rollbackTag)
 	if a.hold && a.held == nil {
 		a.held = make([]byte, 0, len(f.Raw))
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,8 +25,10 @@
 	beatTimeout = 300 * time.Millisecond
 	// avoidFor is how long a VM that did not answer is passed over.
 	avoidFor = 2 * time.Second
-	// listEvery is the time between two looks at the platform's list.
-	listEvery = 4 * time.Second
+	// listEvery is the time between two looks of the coordinator at the platform's list.
+	listEvery = 2 * time.Second
+	// deputyListEvery is the time between two looks of the others that watch the store.
+	deputyListEvery = 6 * time.Second
 	// watchFor is the longest wait of a watch.
 	watchFor = 30 * time.Second
 	// storeLapse is the silence of the store after which a further VM watches it.
@@ -505,7 +507,11 @@
 				r.sawVMs(vms)
 			}
 		}
-		r.pause(ctx, listEvery)
+		wait := deputyListEvery
+		if r.rank() == 0 {
+			wait = listEvery
+		}
+		r.pause(ctx, wait)
 	}
 	return nil
 }
--- a/stager/caller_test.go
+++ b/stager/caller_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/endpointfaker"
 	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/loader"
 	"github.com/marigoldgauge/marigoldgauge/stager"
 	"github.com/marigoldgauge/marigoldgauge/storefaker"
@@ -459,6 +460,26 @@
 	})
 }
 
+// Invariant: a VM that the platform lists as leaving gets no new work after a few seconds.
+func TestListedAsLeaving(t *testing.T) {
+	inFleet(t, stager.Options{}, func(ctx context.Context, g *WithT, f *stager.Fleet) {
+		time.Sleep(10 * time.Second)
+		victim := f.Owner("members-1")
+		var list []keeper.VM
+		for _, vm := range f.VMs() {
+			list = append(list, keeper.VM{ID: vm.ID, Address: vm.Process.Settings.Listen.Peers, AvailabilityZone: vm.AvailabilityZone, Leaving: vm.ID == victim})
+		}
+		f.Store.SetVMs(list)
+		time.Sleep(3 * time.Second)
+		for _, group := range f.Deployment.Groups {
+			g.Expect(f.Owner(group)).NotTo(Equal(victim))
+			g.Expect(f.Owner(group)).NotTo(BeEmpty())
+		}
+		_, err := caller(ctx, g, f, victim).Exec(ctx, "select 1")
+		g.Expect(err).NotTo(HaveOccurred(), "it still serves those whom the balancer sends")
+	})
+}
+
 func TestIdleStoreCalls(t *testing.T) {
 	inFleet(t, stager.Options{}, func(_ context.Context, g *WithT, f *stager.Fleet) {
 		time.Sleep(10 * time.Second)
