refactor: smaller files, one type each

Cause: registrar, stager, pooler and others had grown to files of several hundred lines with several exported types. Change: declarations moved, none altered. Conclusion: behaviour as it was.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -14,36 +14,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/marigoldgauge/marigoldgauge/authenticator"
-	"github.com/marigoldgauge/marigoldgauge/classifier"
-	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/explainer"
-	"github.com/marigoldgauge/marigoldgauge/signer"
 )
 
-// Parts are what an Acceptor is built from.
-type Parts struct {
-	// Settings describe how callers are served.
-	Settings Settings
-	// Clock tells the present time.
-	Clock clocker.Clock
-	// Configuration is the configuration in force.
-	Configuration Configuration
-	// Opener opens units of work.
-	Opener Opener
-	// Classifier tells reads from writes.
-	Classifier *classifier.Classifier
-	// Authenticator checks keys.
-	Authenticator *authenticator.Authenticator
-	// Signer seals session tokens.
-	Signer *signer.Signer
-	// Recorder takes the decisions.
-	Recorder *explainer.Recorder
-	// Cancels passes cancel requests on.
-	Cancels CancelForwarder
-}
-
 // Acceptor serves the callers of one VM.
 //
 // An Acceptor is safe for concurrent use.
--- /dev/null
+++ b/acceptor/opener.go
@@ -0,0 +1,11 @@
+package acceptor
+
+import (
+	"github.com/marigoldgauge/marigoldgauge/pooler"
+)
+
+// Opener opens units of work.
+type Opener interface {
+	// Open returns a unit of work, which starts with its first batch.
+	Open(a pooler.Ask) Work
+}
--- a/endpointfaker/options.go
+++ b/endpointfaker/options.go
@@ -1,7 +1,6 @@
 package endpointfaker
 
 import (
-	"net/netip"
 	"time"
 )
 
@@ -26,31 +25,3 @@
 	// OnExecute is told of every execution; nil is nobody.
 	OnExecute func(Execution)
 }
-
-// InstanceOptions describe one instance.
-type InstanceOptions struct {
-	// ID names the instance, and its place in the network.
-	ID string
-	// Address is where it listens.
-	Address netip.AddrPort
-}
-
-// Execution is one statement that an instance ran.
-type Execution struct {
-	// Instance is the instance that ran it.
-	Instance string
-	// Organisation is the organisation that the connection was set to.
-	Organisation string
-	// Text is the statement.
-	Text string
-	// Texts are the text parameters and constants; they tell statements apart.
-	Texts []string
-	// Write reports whether the statement wrote.
-	Write bool
-	// Term is the term of the instance's log.
-	Term uint64
-	// Replaced reports whether another instance had been promoted in a later term.
-	Replaced bool
-	// At is the time of the execution.
-	At time.Time
-}
--- a/explainer/event.go
+++ b/explainer/event.go
@@ -19,11 +19,3 @@
 	// Count is the number of equal decisions that this event stands for.
 	Count uint64 `json:"count"`
 }
-
-// Input is one thing that a decision saw.
-type Input struct {
-	// Name names the input in kebab case.
-	Name string `json:"name"`
-	// Value is the input as text.
-	Value string `json:"value"`
-}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -10,22 +10,11 @@
 	"github.com/marigoldgauge/marigoldgauge/messenger"
 	"github.com/marigoldgauge/marigoldgauge/placer"
 	"github.com/marigoldgauge/marigoldgauge/pooler"
-	"github.com/marigoldgauge/marigoldgauge/registrar"
 )
 
 // observers is the number of VMs that are asked whether they reach an instance.
 const observers = 5
 
-// Register is the roster, as the forwarder needs it.
-type Register interface {
-	// Roster returns the roster at hand.
-	Roster() registrar.Roster
-	// Suspect passes a VM over for a while.
-	Suspect(id string)
-	// Suspected reports whether a VM lately did not answer.
-	Suspected(id string) bool
-}
-
 // Peers calls the other VMs on behalf of a pool. It implements pooler.Peers.
 type Peers struct {
 	self     string
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -16,18 +16,6 @@
 	"github.com/marigoldgauge/marigoldgauge/registrar"
 )
 
-// Beats answers heartbeats.
-type Beats interface {
-	// Handle answers a heartbeat as the coordinator.
-	Handle(b registrar.Beat) registrar.Answer
-}
-
-// Canceller interrupts the statements of callers connected to this VM.
-type Canceller interface {
-	// Cancel interrupts the statement of a caller and reports whether it was found.
-	Cancel(ctx context.Context, process, secret uint32) bool
-}
-
 // Server serves the other VMs.
 type Server struct {
 	local     func(group string) *pooler.Pool
--- a/governor/index.go
+++ b/governor/index.go
@@ -10,14 +10,6 @@
 	groups        map[string][]string
 }
 
-// Profile is an organisation with its values in force.
-type Profile struct {
-	Organisation
-	Effective
-	// Groups are the database groups that the organisation uses, in ascending order.
-	Groups []string
-}
-
 // keyEntry is the holder of a key.
 type keyEntry struct {
 	organisation string
--- /dev/null
+++ b/governor/numberbound.go
@@ -0,0 +1,16 @@
+package governor
+
+// NumberBound is the default and the range of a number.
+type NumberBound struct {
+	// Default applies where the organisation sets no value.
+	Default float64 `json:"default"`
+	// Min is the smallest value allowed.
+	Min float64 `json:"min"`
+	// Max is the largest value allowed.
+	Max float64 `json:"max"`
+}
+
+// holds reports whether v is within the range.
+func (b NumberBound) holds(v float64) bool {
+	return v >= b.Min && v <= b.Max
+}
--- a/loader/check.go
+++ b/loader/check.go
@@ -40,19 +40,6 @@
 	return coder.New(coder.SettingsInvalid, strings.Join(faults, "; "))
 }
 
-// check holds the fields about callers against their ranges.
-func (c *Callers) check(demand func(ok bool, format string, args ...any)) {
-	demand(!c.RequireTLS || c.TLS.Certificate != "", "callers.require-tls needs callers.tls.certificate")
-	demand(c.MaxMessageBytes >= 1024, "callers.max-message-bytes is below 1024")
-	demand(c.StartupTimeout > 0 && c.QueueTimeout > 0 && c.WriteTimeout > 0, "the timeouts of callers must be above zero")
-	c.TLS.check("callers.tls", demand)
-}
-
-// check holds the files of a certificate against each other.
-func (t *TLS) check(name string, demand func(ok bool, format string, args ...any)) {
-	demand((t.Certificate == "") == (t.Key == ""), "%s needs both a certificate and a key", name)
-}
-
 // checkGroups holds the groups against their ranges.
 func (s *Settings) checkGroups(demand func(ok bool, format string, args ...any)) {
 	demand(len(s.Groups) > 0, "groups needs at least one group")
--- /dev/null
+++ b/pooler/accountdump.go
@@ -0,0 +1,39 @@
+package pooler
+
+import (
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/allotter"
+)
+
+// AccountDump is the budget of one organisation.
+type AccountDump struct {
+	// Organisation names the organisation.
+	Organisation string `json:"organisation"`
+	// Rate is the part of its rate that this owner may use, in requests a second.
+	Rate float64 `json:"rate"`
+	// Tokens is the number of requests that could start at once.
+	Tokens float64 `json:"tokens"`
+	// Fraction is the part of the whole rate, in millionths.
+	Fraction uint64 `json:"fraction"`
+	// Ran is the number of requests admitted.
+	Ran uint64 `json:"ran"`
+	// Refused is the number of requests refused as over the rate.
+	Refused uint64 `json:"refused"`
+}
+
+// dump returns the state of an account.
+func (a *account) dump(now time.Time, name string) AccountDump {
+	d := AccountDump{
+		Organisation: name,
+		Rate:         a.bucket.Limit().Rate,
+		Tokens:       a.bucket.Tokens(now),
+		Fraction:     allotter.Whole,
+		Ran:          a.ran,
+		Refused:      a.refused,
+	}
+	if a.spender != nil {
+		d.Fraction = a.spender.Usable(now)
+	}
+	return d
+}
--- /dev/null
+++ b/pooler/instancedump.go
@@ -0,0 +1,52 @@
+package pooler
+
+import (
+	"time"
+)
+
+// InstanceDump is the state of one instance.
+type InstanceDump struct {
+	// ID names the instance.
+	ID string `json:"id"`
+	// Primary reports whether it takes writes.
+	Primary bool `json:"primary"`
+	// Term is the term that it follows.
+	Term uint64 `json:"term"`
+	// Applied is its position.
+	Applied string `json:"applied"`
+	// Silence is the time since its last answer.
+	Silence string `json:"silence"`
+	// RoundTrip is the round trip time.
+	RoundTrip string `json:"round-trip"`
+	// Using is the number of connections in use.
+	Using int `json:"using"`
+	// Idle is the number of idle connections.
+	Idle int `json:"idle"`
+	// Running is the number of statements under way.
+	Running int `json:"running"`
+	// Window is the number of statements that may be under way.
+	Window int `json:"window"`
+	// Queued is the number of requests in the queue.
+	Queued int `json:"queued"`
+	// Served is the number of statements answered.
+	Served uint64 `json:"served"`
+}
+
+// dumpInstance returns the state of an instance. The lock is held.
+func (p *Pool) dumpInstance(now time.Time, i *instance) InstanceDump {
+	t := p.tracker.Instance(i.id)
+	return InstanceDump{
+		ID:        i.id,
+		Primary:   t.Status.Primary,
+		Term:      t.Status.Term,
+		Applied:   t.Status.Applied.String(),
+		Silence:   now.Sub(t.Heard).Round(time.Millisecond).String(),
+		RoundTrip: i.rtt.Round(time.Microsecond).String(),
+		Using:     i.using,
+		Idle:      len(i.idle),
+		Running:   i.running,
+		Window:    i.window.Size(),
+		Queued:    i.queue.Len(),
+		Served:    i.served,
+	}
+}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -14,49 +14,10 @@
 	"github.com/marigoldgauge/marigoldgauge/explainer"
 	"github.com/marigoldgauge/marigoldgauge/governor"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
-	"github.com/marigoldgauge/marigoldgauge/prober"
 	"github.com/marigoldgauge/marigoldgauge/promoter"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
-// Configuration gives the configuration in force.
-type Configuration interface {
-	// Index returns the configuration in force.
-	Index() *governor.Index
-}
-
-// Peers are the other VMs, as a pool needs them.
-type Peers interface {
-	// Observe asks some peers whether they reach an instance.
-	Observe(ctx context.Context, group, instance string, answer func(peer string, reachable bool))
-	// Handover asks the VM that owned the pool to let go of it.
-	Handover(ctx context.Context, vm, group string) (Handover, error)
-	// Share talks to the owner of the rates that belong to a home group.
-	Share(ctx context.Context, home string, requests []ShareRequest) ([]ShareReply, error)
-	// Live reports whether a VM is on the roster.
-	Live(vm string) bool
-}
-
-// Parts are what a Pool is built from.
-type Parts struct {
-	// Settings describe the group.
-	Settings Settings
-	// VM is the VM on which the pool runs.
-	VM string
-	// Incarnation tells the processes of one VM apart.
-	Incarnation string
-	// Clock tells the present time.
-	Clock clocker.Clock
-	// Dial opens connections to the instances.
-	Dial prober.Dial
-	// Configuration is the configuration in force.
-	Configuration Configuration
-	// Peers are the other VMs.
-	Peers Peers
-	// Recorder takes the decisions.
-	Recorder *explainer.Recorder
-}
-
 // Pool is the pool of one database group on one VM, whether the VM owns it or not.
 //
 // A Pool is safe for concurrent use.
--- a/promoter/view.go
+++ b/promoter/view.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
 // View is what a Promoter sees of the group at one time.
@@ -12,25 +10,6 @@
 	Instances []InstanceView
 }
 
-// InstanceView is one instance of a View.
-type InstanceView struct {
-	// ID names the instance.
-	ID string
-	// Known reports whether the instance ever answered.
-	Known bool
-	// Heard is the time of its last answer.
-	Heard time.Time
-	// Distance is its round trip time.
-	Distance time.Duration
-	// Status is its last status.
-	Status tracker.Status
-}
-
-// leads reports whether the instance leads the latest term that it knows.
-func (i InstanceView) leads() bool {
-	return i.Known && i.Status.Primary && i.Status.Term == i.Status.History.Term()
-}
-
 // primary returns the leading instance of the highest term.
 func (v View) primary() (InstanceView, bool) {
 	var best InstanceView
--- /dev/null
+++ b/registrar/store.go
@@ -0,0 +1,15 @@
+package registrar
+
+import (
+	"context"
+
+	"github.com/marigoldgauge/marigoldgauge/governor"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+)
+
+// Store is the part of the platform's store that a Registrar needs.
+type Store interface {
+	governor.Store
+	// VMs returns the platform's lagging list of VMs.
+	VMs(ctx context.Context) ([]keeper.VM, error)
+}
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/governor"
@@ -39,18 +38,6 @@
 	Organisations []Profile
 }
 
-// Profile is an organisation of a deployment.
-type Profile struct {
-	// Name names the organisation.
-	Name string
-	// Rate is its rate in requests a second.
-	Rate float64
-	// Burst is its burst in requests.
-	Burst float64
-	// Databases are the databases that it uses.
-	Databases []string
-}
-
 // Campusweg returns the deployment of the open-day registration.
 func Campusweg() Deployment {
 	return Deployment{
@@ -103,26 +90,6 @@
 	}
 }
 
-// profiles returns n organisations: two large ones that use two databases each,
-// and small ones that use one.
-func profiles(kind string, n int, database string) []Profile {
-	out := make([]Profile, 0, n)
-	for i := range n {
-		p := Profile{
-			Name:      fmt.Sprintf("%s-%d", kind, i+1),
-			Rate:      60,
-			Burst:     60,
-			Databases: []string{fmt.Sprintf("%s-%d", database, i%3+1)},
-		}
-		if i < 2 {
-			p.Rate, p.Burst = 150, 150
-			p.Databases = append(p.Databases, fmt.Sprintf("%s-%d", database, (i+1)%3+1))
-		}
-		out = append(out, p)
-	}
-	return out
-}
-
 // Edits returns the first change of the configuration: a template, the routes
 // and the profiles.
 func (d Deployment) Edits() []governor.Edit {
--- /dev/null
+++ b/stager/group.go
@@ -0,0 +1,86 @@
+package stager
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/marigoldgauge/marigoldgauge/endpointfaker"
+)
+
+// newGroup returns a database group with an instance in each availability zone.
+func (f *Fleet) newGroup(n int, name string) *endpointfaker.Group {
+	o := endpointfaker.Options{
+		Name:         name,
+		Slots:        f.Deployment.Slots,
+		Connections:  f.Deployment.Connections,
+		ConnectDelay: f.Deployment.ConnectDelay,
+		ServiceTime:  f.Deployment.ServiceTime,
+		Lag:          f.Deployment.Lag,
+		Reaches:      f.Network.Reaches,
+	}
+	if hook := f.options.OnExecute; hook != nil {
+		o.OnExecute = func(e endpointfaker.Execution) { hook(name, e) }
+	}
+	zones := len(f.Deployment.AvailabilityZones)
+	for i := range 3 {
+		id := fmt.Sprintf("%s-%c", name, 'a'+i)
+		f.zones[id] = (n + i) % zones
+		o.Instances = append(o.Instances, endpointfaker.InstanceOptions{
+			ID:      id,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(n), byte(i + 1)}), endpointPort),
+		})
+	}
+	return endpointfaker.New(o)
+}
+
+// startGroup starts the endpoints of a group.
+func (f *Fleet) startGroup(g *endpointfaker.Group) error {
+	for n, i := range g.Instances() {
+		l, err := f.listenEndpoint(g, n)
+		if err != nil {
+			return err
+		}
+		f.group.Go(func() error { return i.Serve(f.ctx, l) })
+	}
+	f.group.Go(func() error { return g.Replicate(f.ctx) })
+	return nil
+}
+
+// listenEndpoint opens the listener of the n-th instance of a group.
+func (f *Fleet) listenEndpoint(g *endpointfaker.Group, n int) (net.Listener, error) {
+	if f.options.RealEndpoints != nil && g == f.Groups[0] {
+		return f.options.RealEndpoints(n), nil
+	}
+	return f.Network.Listen(g.Instances()[n].ID(), f.address(g, n))
+}
+
+// address returns the address of the n-th instance of a group.
+func (f *Fleet) address(g *endpointfaker.Group, n int) netip.AddrPort {
+	for i := range f.Groups {
+		if f.Groups[i] == g {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i), byte(n + 1)}), endpointPort)
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// nameOf returns the name of a group.
+func (f *Fleet) nameOf(g *endpointfaker.Group) string {
+	for i := range f.Groups {
+		if f.Groups[i] == g {
+			return f.Deployment.Groups[i]
+		}
+	}
+	return ""
+}
+
+// Group returns a database group by name, or nil.
+func (f *Fleet) Group(name string) *endpointfaker.Group {
+	for i := range f.Groups {
+		if f.Deployment.Groups[i] == name {
+			return f.Groups[i]
+		}
+	}
+	return nil
+}
