test: demonstrations run in parallel bubbles

Cause: under the race detector the demonstrations took minutes on one core. Change: each subtest is parallel; one counting connection serves two benchmarks.

--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -45,6 +45,7 @@
 	}
 	for _, o := range tests {
 		t.Run(fmt.Sprintf("%s surge=%t", o.Deployment, o.Surge), func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			f := run(t, o)
 			g.Expect(f.Broken()).To(BeFalse())
@@ -63,6 +64,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%s alone=%t", tt.deployment, tt.alone), func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			var gaps []time.Duration
 			for seed := range *seeds {
@@ -93,6 +95,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.lag.String(), func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			f := run(t, demonstrator.Options{Deployment: "lepidlo", For: time.Minute, Callers: 32, WriteShare: 0.05, Offered: 0.25, Lag: tt.lag, Seed: 1})
 			t.Logf("lag=%s replica-read-share=%.3f naive=%.3f", tt.lag, f.ReplicaShare(), f.NaiveShare)
--- a/demonstrator/faults_test.go
+++ b/demonstrator/faults_test.go
@@ -171,6 +171,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			o := demonstrator.Options{Deployment: "campusweg", For: tt.length, Disturb: tt.disturb, Seed: 4}
 			if tt.length > time.Minute {
--- a/forwarder/beat_test.go
+++ b/forwarder/beat_test.go
@@ -17,26 +17,9 @@
 	"github.com/marigoldgauge/marigoldgauge/governor"
 	"github.com/marigoldgauge/marigoldgauge/pooler"
 	"github.com/marigoldgauge/marigoldgauge/registrar"
+	"github.com/marigoldgauge/marigoldgauge/wirefaker"
 )
 
-// counted counts the bytes of a connection.
-type counted struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c counted) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // coordinator returns a registrar that coordinates, and an address where it serves.
 func coordinator(ctx context.Context, tb testing.TB) (*registrar.Registrar, netip.AddrPort) {
 	tb.Helper()
@@ -99,10 +82,7 @@
 					r.Handle(beat(i))
 				}
 				var bytes atomic.Int64
-				caller := forwarder.NewCaller(func(ctx context.Context, network, addr string) (net.Conn, error) {
-					c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-					return counted{c, &bytes}, err
-				})
+				caller := forwarder.NewCaller(wirefaker.CountingDialer(&bytes))
 				defer func() { _ = caller.Close() }()
 				m := beat(0)
 				for range b.N {
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -13,26 +13,9 @@
 	"github.com/marigoldgauge/marigoldgauge/endpointfaker"
 	"github.com/marigoldgauge/marigoldgauge/prober"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
+	"github.com/marigoldgauge/marigoldgauge/wirefaker"
 )
 
-// counted counts the bytes of a connection.
-type counted struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c counted) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // client returns a client of a stand-in instance on loopback.
 func client(ctx context.Context, tb testing.TB, bytes *atomic.Int64) *prober.Client {
 	tb.Helper()
@@ -44,10 +27,7 @@
 	go func() { _ = group.Instances()[0].Serve(ctx, l) }()
 	return prober.New(prober.Target{
 		Address: netip.MustParseAddrPort(l.Addr().String()), User: "u", Database: "d",
-		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-			return counted{c, bytes}, err
-		},
+		Dial: wirefaker.CountingDialer(bytes),
 	})
 }
 
