--- a/forwarder/remote.go
+++ b/forwarder/remote.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	stream messenger.DRPCPeer_WorkClient
 	cancel context.CancelFunc
+	// ended reports that the owner has ended the unit of work.
+	ended bool
 }
 
 // Exchange runs one batch.
@@ -54,8 +56,9 @@
 				return pooler.Result{}, err
 			}
 		}
-		if reply.GetEnd() != nil {
-			return endIn(reply.GetEnd())
+		if end := reply.GetEnd(); end != nil {
+			r.ended = end.GetCode() != 0 || end.GetTransactionStatus() == 'I'
+			return endIn(end)
 		}
 	}
 }
@@ -100,9 +103,18 @@
 	}
 	r.router.leave(r)
 	_ = r.stream.Close()
+	if r.ended {
+		time.AfterFunc(cancelAfter, r.cancel)
+		return
+	}
 	r.cancel()
 }
 
+// cancelAfter is the wait before the context of a stream that ended well is
+// freed: a cancel closes the connection of the stream, which by then is in use
+// again for another one.
+const cancelAfter = time.Second
+
 // Cancel interrupts the running batch.
 func (r *remote) Cancel(context.Context) error {
 	r.mu.Lock()
