--- a/demonstrator/run.go
+++ b/demonstrator/run.go
@@ -68,6 +68,7 @@
 	o := stager.Options{OnExecute: d.tally.execute}
 	if d.options.Stay {
 		o.ListenCallers = func(string) (net.Listener, error) { return d.listen("proxy") }
+		o.ListenOperators = func(string) (net.Listener, error) { return d.listen("operators") }
 		o.ListenPlatform = func() (net.Listener, error) { return d.listen("platform") }
 	}
 	d.fleet = stager.New(d.deployment, o)
--- a/stager/options.go
+++ b/stager/options.go
@@ -18,6 +18,8 @@
 	Log log.Interface
 	// ListenCallers opens a second listener for callers of a VM; nil is none.
 	ListenCallers func(vm string) (net.Listener, error)
+	// ListenOperators opens a second listener for operators of a VM; nil is none.
+	ListenOperators func(vm string) (net.Listener, error)
 	// ListenPlatform opens a second listener of the platform; nil is none.
 	ListenPlatform func() (net.Listener, error)
 	// OnExecute is told of every execution at an endpoint; nil is nobody.
--- a/stager/vm.go
+++ b/stager/vm.go
@@ -122,10 +122,11 @@
 	return runner.Environment{
 		Listen: func(addr netip.AddrPort) (net.Listener, error) {
 			l, err := f.Network.Listen(vm.ID, addr)
-			if err != nil || addr != vm.Callers || f.options.ListenCallers == nil {
+			second := f.second(vm, addr)
+			if err != nil || second == nil {
 				return l, err
 			}
-			outside, err := f.options.ListenCallers(vm.ID)
+			outside, err := second(vm.ID)
 			if err != nil {
 				return nil, err
 			}
@@ -139,6 +140,18 @@
 	}
 }
 
+// second returns what opens a second listener beside one of a VM, or nil.
+func (f *Fleet) second(vm *VM, addr netip.AddrPort) func(vm string) (net.Listener, error) {
+	switch addr.Port() {
+	case vm.Callers.Port():
+		return f.options.ListenCallers
+	case operatorPort:
+		return f.options.ListenOperators
+	default:
+		return nil
+	}
+}
+
 // dialer returns the dial function of a VM; real endpoints are dialled for real.
 func (f *Fleet) dialer(vm string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	staged := f.Network.Dialer(vm)
