fix: a pool that is lost settles the writes that wait for confirmation

Change: such writes are answered at once as not confirmed; the demonstration reports its longest answer, and the fault tests bound it by 8 s, the sum of the stated waits.

--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -57,3 +57,11 @@
 func (c *Confirmer) Waiting() int {
 	return len(c.waiting)
 }
+
+// Abandon settles all writes as not confirmed, when nobody asks the instances any more.
+func (c *Confirmer) Abandon() {
+	for _, w := range c.waiting {
+		close(w.done)
+	}
+	c.waiting = nil
+}
--- a/demonstrator/caller.go
+++ b/demonstrator/caller.go
@@ -98,6 +98,8 @@
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 	defer cancel()
 	c.tally.ask(c.organisation)
+	began := time.Now()
+	defer func() { c.tally.finish(time.Since(began)) }()
 	if c.random.Float64() < c.writeShare {
 		return c.write(bounded, conn)
 	}
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -18,6 +18,10 @@
 // seeds is the number of seeds of a measurement.
 var seeds = flag.Int("seeds", 3, "number of seeds of a measurement")
 
+// answerWithin bounds the time to a final answer: the wait before a request
+// starts (4 s), the wait for its confirmation (3 s) and a second for the way.
+const answerWithin = 8 * time.Second
+
 // run runs a demonstration in virtual time.
 func run(t *testing.T, o demonstrator.Options) demonstrator.Figures {
 	t.Helper()
@@ -70,6 +74,7 @@
 			for seed := range *seeds {
 				f := run(t, demonstrator.Options{Deployment: tt.deployment, For: 8 * time.Second, Failover: true, Alone: tt.alone, Seed: uint64(seed)})
 				g.Expect(f.Broken()).To(BeFalse(), "seed %d", seed)
+				g.Expect(f.Longest).To(BeNumerically("<=", answerWithin), "seed %d", seed)
 				gaps = append(gaps, f.Gap)
 			}
 			slices.Sort(gaps)
--- a/demonstrator/faults_test.go
+++ b/demonstrator/faults_test.go
@@ -179,6 +179,7 @@
 			}
 			f := run(t, o)
 			g.Expect(f.Broken()).To(BeFalse())
+			g.Expect(f.Longest).To(BeNumerically("<=", answerWithin))
 			g.Expect(float64(f.Refused)).To(BeNumerically("<=", tt.refused*float64(f.Asked)), "refused: %v", f.Reasons)
 			g.Expect(float64(f.Unknown)).To(BeNumerically("<=", tt.unknown*float64(f.Asked)), "unknown: %v", f.Reasons)
 		})
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -30,6 +32,8 @@
 	Refused int
 	// Unknown counts those whose outcome is unknown.
 	Unknown int
+	// Longest is the longest time until a final answer.
+	Longest time.Duration
 	// Reasons count the errors behind refusals and unknown outcomes.
 	Reasons map[string]int
 	// Stale counts reads that missed an acknowledged write of their session.
@@ -62,7 +66,11 @@
 	line("failover-gap=%s", f.Gap.Round(time.Millisecond))
 	line("worst-served-organisation=%s share=%.3f", f.WorstOrganisation, f.WorstShare)
 	line("wrongful-refusals=%d of=%d share=%.5f", f.Refused, f.Asked, ratio(f.Refused, f.Asked))
+	line("longest-answer=%s", f.Longest.Round(time.Millisecond))
 	line("outcome-unknown=%d", f.Unknown)
+	for _, reason := range slices.Sorted(maps.Keys(f.Reasons)) {
+		line("unanswered=%d reason=%q", f.Reasons[reason], reason)
+	}
 	line("stale-session-reads=%d", f.Stale)
 	line("replaced-primary-acks=%d", f.ReplacedAcks)
 	line("not-run-but-ran=%d", f.NotRunButRan)
@@ -84,6 +92,7 @@
 		RanTwice:     t.ranTwice(),
 		Cross:        t.cross,
 		Reasons:      t.reasons,
+		Longest:      t.longest,
 		NaiveShare:   ratio(t.naiveReplica, t.naiveReads),
 	}
 	for _, vm := range d.fleet.VMs() {
--- a/demonstrator/tally.go
+++ b/demonstrator/tally.go
@@ -24,6 +24,7 @@
 	naiveReads    int
 	acks          map[string][]time.Time
 	reasons       map[string]int
+	longest       time.Duration
 }
 
 // served counts the requests of one organisation.
@@ -87,6 +88,13 @@
 	}
 }
 
+// finish takes in how long a request took until its final answer.
+func (t *tally) finish(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.longest = max(t.longest, took)
+}
+
 // ask counts a request.
 func (t *tally) ask(organisation string) {
 	t.mu.Lock()
--- a/pooler/acquire.go
+++ b/pooler/acquire.go
@@ -126,6 +126,10 @@
 // confirm waits until a majority has confirmed the term of a commit.
 func (p *Pool) confirm(ctx context.Context, term uint64, committed time.Time) error {
 	p.mu.Lock()
+	if p.state != Owning && p.state != Releasing {
+		p.mu.Unlock()
+		return notConfirmed()
+	}
 	w := p.confirms.Add(committed, term, committed, committed.Add(confirmFor), p.tracker)
 	for _, i := range p.instances {
 		i.poke()
@@ -139,5 +143,10 @@
 	if w.Confirmed() {
 		return nil
 	}
+	return notConfirmed()
+}
+
+// notConfirmed returns the error of a write that committed and may be lost.
+func notConfirmed() error {
 	return coder.NewUnknown(coder.NotConfirmed, "the primary may have been replaced when the write committed")
 }
--- a/pooler/probe.go
+++ b/pooler/probe.go
@@ -68,6 +68,7 @@
 		}
 		i.drop()
 	}
+	p.confirms.Abandon()
 	p.state = Standby
 	p.stop()
 	p.wakeAll()
