feat: closing prepared statements needs no endpoint; zones and regions lost

Cause: a client that closed a statement after a failure met the failure again ('failed to deallocate cached statement'); a lost zone and a region cut off were unproved. Change: a batch of Close messages is answered by the proxy; two faults more.

--- a/acceptor/extended.go
+++ b/acceptor/extended.go
@@ -151,6 +151,9 @@
 		s.ready()
 		return s.flush() == nil
 	}
+	if s.closesOnly() {
+		return s.closeLocally()
+	}
 	if s.lostTransaction() {
 		s.clear()
 		return s.rolledBack(classifier.Class{Kind: classifier.End})
@@ -163,6 +166,27 @@
 	return s.run(ctx)
 }
 
+// closesOnly reports whether the batch does nothing but close prepared
+// statements, which are the proxy's own.
+func (s *session) closesOnly() bool {
+	for i := range s.batch.Steps {
+		if s.batch.Steps[i].Kind != pooler.CloseStatement {
+			return false
+		}
+	}
+	return s.getWork() == nil
+}
+
+// closeLocally answers a batch that closes prepared statements.
+func (s *session) closeLocally() bool {
+	for range s.batch.Steps {
+		s.send(&pgproto3.CloseComplete{})
+	}
+	s.clear()
+	s.ready()
+	return s.flush() == nil
+}
+
 // abandonFailed gives up a unit of work that a flushed batch left open after an error.
 func (s *session) abandonFailed() {
 	if s.getWork() != nil && s.status == 'I' {
--- a/demonstrator/faults_test.go
+++ b/demonstrator/faults_test.go
@@ -150,6 +150,60 @@
 	return nil
 }
 
+// zoneLost kills all VMs of an availability zone and stops its endpoints.
+func zoneLost(ctx context.Context, f *stager.Fleet) error {
+	wait(ctx, 2*time.Second)
+	vms, instances := f.InZone(0)
+	for _, i := range instances {
+		i.SetFaults(endpointfaker.Faults{Paused: true})
+	}
+	for _, vm := range vms {
+		f.Kill(vm)
+	}
+	wait(ctx, 6*time.Second)
+	for _, i := range instances {
+		i.SetFaults(endpointfaker.Faults{})
+	}
+	for _, vm := range vms {
+		if _, err := f.StartVM(vm); err != nil {
+			return err
+		}
+	}
+	wait(ctx, 4*time.Second)
+	return nil
+}
+
+// regionCut cuts one region off from all others, callers and platform aside,
+// and heals the cut.
+func regionCut(ctx context.Context, f *stager.Fleet) error {
+	wait(ctx, 2*time.Second)
+	inside := map[string]bool{}
+	vms, instances := f.InZone(0)
+	for _, vm := range vms {
+		inside[vm] = true
+	}
+	for _, i := range instances {
+		inside[i.ID()] = true
+	}
+	var outside []string
+	for zone := 1; zone < len(f.Deployment.AvailabilityZones); zone++ {
+		vms, instances := f.InZone(zone)
+		outside = append(outside, vms...)
+		for _, i := range instances {
+			outside = append(outside, i.ID())
+		}
+	}
+	for _, cut := range []bool{true, false} {
+		for in := range inside {
+			for _, out := range outside {
+				f.Network.CutBoth(in, out, cut)
+			}
+		}
+		wait(ctx, 6*time.Second)
+	}
+	return nil
+}
+
 // The brief's faults under load: nothing that must always hold breaks, and the
 // refusals stay within the bound of the target.
 func TestInvariantsUnderFaults(t *testing.T) {
@@ -167,6 +221,8 @@
 		{"paused primaries", pauses, 18 * time.Second, 0.01, 0.01},
 		{"one-way cut", oneWay, 10 * time.Second, 0.01, 0.01},
 		{"second instance lost during the promotion", secondLoss, 12 * time.Second, 0.10, 0.01},
+		{"availability zone lost", zoneLost, 14 * time.Second, 0.01, 0.02},
+		{"region cut off", regionCut, 16 * time.Second, 0.20, 0.02},
 		{"leaving endpoints", leaving, 8 * time.Second, 0, 0},
 	}
 	for _, tt := range tests {
--- a/stager/fleet.go
+++ b/stager/fleet.go
@@ -159,3 +159,22 @@
 	}
 	return true
 }
+
+// InZone returns the VMs and the instances of an availability zone.
+func (f *Fleet) InZone(zone int) (vms []string, instances []*endpointfaker.Instance) {
+	for _, vm := range f.VMs() {
+		if vm.AvailabilityZone == f.Deployment.AvailabilityZones[zone] {
+			vms = append(vms, vm.ID)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.Groups {
+		for _, i := range g.Instances() {
+			if f.zones[i.ID()] == zone {
+				instances = append(instances, i)
+			}
+		}
+	}
+	return vms, instances
+}
--- a/stager/golden_test.go
+++ b/stager/golden_test.go
@@ -143,6 +143,7 @@
 			&pgproto3.Execute{},
 			&pgproto3.Sync{},
 		)
+		x.ask(&pgproto3.Close{ObjectType: 'S', Name: "named"}, &pgproto3.Sync{})
 		x.ask(&pgproto3.Query{String: "select body from nowhere"})
 		x.ask(&pgproto3.Query{String: "listen changes"})
 		x.ask(&pgproto3.Query{String: "begin"})
