--- a/pooler/work.go
+++ b/pooler/work.go
@@ -85,14 +85,18 @@
 		Failed:            a.failure != "",
 	}
 	idle := a.status == 'I'
-	valid := w.settle(a, r)
+	confirms := idle && w.primary && a.committed && (b.Writes || w.confirms())
+	valid := w.settle(a, r, confirms)
+	if confirms {
+		defer w.pool.confirmed()
+	}
 	if refusedByReplica(a) {
 		return Result{}, coder.New(coder.ReplicaRefused, "the instance takes no writes")
 	}
 	if !valid {
 		return Result{}, w.outdated(a)
 	}
-	if idle && w.primary && a.committed && (b.Writes || w.confirms()) {
+	if confirms {
 		if err := w.pool.confirm(ctx, w.term, w.pool.clock.Now()); err != nil {
 			return Result{}, err
 		}
@@ -106,9 +110,10 @@
 }
 
 // settle takes an answer in: the slot is free again, outside a transaction the
-// connection too, and the position is known. It reports whether a read still
+// connection too, and the position is known. A write that is to be confirmed
+// still counts as work, so that the pool is not released before. It reports whether a read still
 // satisfies its session.
-func (w *Work) settle(a *answer, r Result) (valid bool) {
+func (w *Work) settle(a *answer, r Result, confirms bool) (valid bool) {
 	p := w.pool
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -116,6 +121,9 @@
 	w.instance.finish(now, w.ask.Organisation, now.Sub(w.began))
 	w.paused = now
 	w.open = a.status != 'I'
+	if confirms {
+		p.working++
+	}
 	p.tracker.ObservePosition(w.instance.id, a.asked, now, r.Position)
 	if !w.open {
 		p.release(now, w)
@@ -126,6 +134,13 @@
 	return p.tracker.Serves(now, tracker.Need{Required: w.ask.Required, MaxStaleness: p.staleness(w.ask.Organisation)}, r.Position)
 }
 
+// confirmed ends the work of a write that was to be confirmed.
+func (p *Pool) confirmed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.working--
+}
+
 // refusedByReplica reports whether an instance that takes no writes, or no
 // longer does, refused a statement; nothing ran.
 func refusedByReplica(a *answer) bool {
