--- a/forwarder/router.go
+++ b/forwarder/router.go
@@ -108,12 +108,16 @@
 func (r *Router) Abandon(roster registrar.Roster) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for vm, units := range r.remotes {
-		if _, ok := roster.Member(vm); ok {
-			continue
-		}
-		for u := range units {
-			u.cancel()
+	for vm := range r.remotes {
+		if _, ok := roster.Member(vm); !ok {
+			r.breakOff(vm)
 		}
 	}
 }
+
+// breakOff takes back the units of work at a VM. The lock is held.
+func (r *Router) breakOff(vm string) {
+	for u := range r.remotes[vm] {
+		u.cancel()
+	}
+}
--- a/forwarder/watch.go
+++ b/forwarder/watch.go
@@ -82,9 +82,7 @@
 		return
 	}
 	r.silent[vm] = true
-	for u := range r.remotes[vm] {
-		u.cancel()
-	}
+	r.breakOff(vm)
 }
 
 // avoids reports whether a VM lately did not answer this one.
--- a/pooler/acquire.go
+++ b/pooler/acquire.go
@@ -15,18 +15,10 @@
 	deadline := w.pool.clock.Now().Add(w.ask.Timeout)
 	w.pool.mu.Lock()
 	if b.Charged {
-		wait, err := w.pool.charge(w.pool.clock.Now(), w.ask.Organisation, w.pool.settings.RateWait)
-		if err != nil {
+		if err := w.pool.admit(ctx, w.ask.Organisation, w.pool.settings.RateWait); err != nil {
 			w.pool.mu.Unlock()
 			return err
 		}
-		if wait > 0 {
-			w.pool.mu.Unlock()
-			if err := pause(ctx, wait); err != nil {
-				return err
-			}
-			w.pool.mu.Lock()
-		}
 	}
 	return w.place(ctx, deadline)
 }
@@ -70,14 +62,14 @@
 // resume takes a slot for the next batch of a transaction. It does not queue:
 // the transaction may hold locks that others wait for.
 func (w *Work) resume(ctx context.Context, b *Batch) error {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
 	if b.Charged {
 		if err := w.pool.admit(ctx, w.ask.Organisation, w.ask.Timeout); err != nil {
 			return err
 		}
 	}
 	now := w.pool.clock.Now()
-	w.pool.mu.Lock()
-	defer w.pool.mu.Unlock()
 	w.instance.queue.Charge(w.ask.Organisation, now.Sub(w.paused)/idleShare)
 	w.instance.queue.Start(w.ask.Organisation)
 	w.instance.running++
--- a/pooler/admit.go
+++ b/pooler/admit.go
@@ -8,14 +8,15 @@
 	"github.com/marigoldgauge/marigoldgauge/explainer"
 )
 
-// admit holds an organisation to its rate, after a short wait at most.
+// admit holds an organisation to its rate, after a short wait at most. The lock
+// is held, also on return; it is released during the wait.
 func (p *Pool) admit(ctx context.Context, organisation string, maxWait time.Duration) error {
-	p.mu.Lock()
 	wait, err := p.charge(p.clock.Now(), organisation, maxWait)
-	p.mu.Unlock()
 	if err != nil || wait == 0 {
 		return err
 	}
+	p.mu.Unlock()
+	defer p.mu.Lock()
 	return pause(ctx, wait)
 }
 
--- a/pooler/work.go
+++ b/pooler/work.go
@@ -111,8 +111,8 @@
 
 // settle takes an answer in: the slot is free again, outside a transaction the
 // connection too, and the position is known. A write that is to be confirmed
-// still counts as work, so that the pool is not released before. It reports whether a read still
-// satisfies its session.
+// still counts as work, so that the pool is not released before. It reports
+// whether a read still satisfies its session.
 func (w *Work) settle(a *answer, r Result, confirms bool) (valid bool) {
 	p := w.pool
 	now := p.clock.Now()
