--- /dev/null
+++ b/assembler/constructors.go
@@ -0,0 +1,120 @@
+package assembler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/sessioner"
+	"github.com/marigoldgauge/marigoldgauge/sharer"
+	"github.com/marigoldgauge/marigoldgauge/switcher"
+)
+
+// constructors build the parts of a process, in the order in which they need each other.
+var constructors = []any{
+	newState,
+	func(p Parts) *journaler.Journaler { return journaler.New(p.Log, p.Clock) },
+	cataloguer.NewHolder,
+	newObserver,
+	sharer.New,
+	newDispatcher,
+	newSessions,
+	newLeaser,
+	newGossiper,
+	newSwitcher,
+}
+
+// New builds a process.
+func New(p Parts) (*Proxy, error) {
+	c := dig.New()
+	if err := c.Provide(func() Parts { return p }); err != nil {
+		return nil, eris.Wrap(err, "providing the settings")
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return nil, eris.Wrap(err, "providing a part")
+		}
+	}
+	var proxy *Proxy
+	err := c.Invoke(func(p Proxy) { proxy = &p })
+	return proxy, eris.Wrap(err, "building the process")
+}
+
+// newState returns the state of a process that has just started.
+func newState(p Parts) *state {
+	// The low bits tell processes apart that start in the same millisecond.
+	return &state{incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10)}
+}
+
+const (
+	// sameZone, sameRegion and otherRegion are assumed of the way to an
+	// instance and back before the first answer; serviceTime is added.
+	sameZone    = time.Millisecond
+	sameRegion  = 4 * time.Millisecond
+	otherRegion = 20 * time.Millisecond
+	serviceTime = 20 * time.Millisecond
+)
+
+// newObserver returns an observer that knows how far the availability zones are.
+func newObserver(p Parts) *observer.Observer {
+	s := p.Settings
+	return observer.New(func(zone string) time.Duration {
+		switch {
+		case zone == s.VM.AvailabilityZone:
+			return serviceTime + sameZone
+		case s.Regions[zone] == s.Regions[s.VM.AvailabilityZone]:
+			return serviceTime + sameRegion
+		default:
+			return serviceTime + otherRegion
+		}
+	})
+}
+
+// newDispatcher returns a dispatcher without instances.
+func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, j *journaler.Journaler) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j})
+}
+
+// newSessions returns a server without callers.
+func newSessions(p Parts, c *cataloguer.Holder, d *dispatcher.Dispatcher, j *journaler.Journaler) *sessioner.Server {
+	return &sessioner.Server{Catalogue: c, Runner: d, Clock: p.Clock, Journal: j, Grace: p.Settings.Grace}
+}
+
+// leaseKey is where the duty of replacing primaries lies in the store.
+const leaseKey = "marigoldgauge-duties/replace-primaries"
+
+// newLeaser returns the leaser of the duty of replacing primaries.
+func newLeaser(p Parts, s *state) *leaser.Leaser {
+	return leaser.New(p.Adapter.Store(), p.Clock, leaseKey, p.Settings.VM.ID, s.incarnation, p.Settings.Lease)
+}
+
+// newGossiper returns a gossiper that tells what this process knows.
+func newGossiper(p Parts, n newsParts) *gossiper.Gossiper {
+	news := &news{newsParts: n, settings: p.Settings}
+	g := gossiper.New(p.Transport, p.Clock, news.compose, news.hear)
+	news.gossiper = g
+	return g
+}
+
+// newSwitcher returns the switcher of this VM.
+func newSwitcher(p Parts, o *observer.Observer, d *dispatcher.Dispatcher, g *gossiper.Gossiper, l *leaser.Leaser,
+	sessions *sessioner.Server, j *journaler.Journaler, st *state) *switcher.Switcher {
+	started := p.Clock.Now()
+	return switcher.New(switcher.Parts{
+		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
+		Fit: func(now time.Time) bool {
+			return !sessions.Leaving() && !st.storeLost.Load() && now.Sub(started) >= settleFor
+		},
+	})
+}
+
+// settleFor is how long a process only listens before it replaces primaries: a few messages of each VM.
+const settleFor = 2 * time.Second
--- /dev/null
+++ b/assembler/following.go
@@ -0,0 +1,209 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/follower"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/limiter"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+)
+
+const (
+	// watchFor is how long one watch of the store waits. A connection that went
+	// silent is noticed within it, and a change must be in force within 3 s.
+	watchFor = 1500 * time.Millisecond
+	// vmsPrefix is where the VMs of the fleet register in the store.
+	vmsPrefix = "marigoldgauge-vms/"
+	// registerRetry is the pause after a failed registration.
+	registerRetry = 400 * time.Millisecond
+	// relistEvery is how often the register is read again.
+	relistEvery = 15 * time.Second
+)
+
+// follow follows a prefix of the store.
+func (p *Proxy) follow(ctx context.Context, prefix string, apply func(asOf time.Time, objects map[string]keeper.Object)) error {
+	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached}
+	return f.Run(ctx)
+}
+
+// reached notes whether the store answered.
+func (p *Proxy) reached(now time.Time, err error) {
+	if err == nil {
+		p.State.storeReached.Store(now.UnixNano())
+		if p.State.storeLost.Swap(false) {
+			p.Journal.Belief("store-regained")
+		}
+		return
+	}
+	if !p.State.storeLost.Swap(true) {
+		p.Journal.Belief("store-lost", dispatcher.Field{Name: "error", Value: err.Error()})
+	}
+}
+
+// followCatalogue keeps the configuration up to date.
+func (p *Proxy) followCatalogue(ctx context.Context) error {
+	key := p.Parts.Adapter.CatalogueKey()
+	prefix := key[:len(key)-len(baseName(key))]
+	return p.follow(ctx, prefix, func(asOf time.Time, objects map[string]keeper.Object) {
+		if o, ok := objects[key]; ok {
+			p.takeCatalogue(o.Value, "store")
+		}
+		p.Catalogue.Confirm(asOf)
+	})
+}
+
+// baseName returns what follows the last slash of a key.
+func baseName(key string) string {
+	for i := len(key) - 1; i >= 0; i-- {
+		if key[i] == '/' {
+			return key[i+1:]
+		}
+	}
+	return key
+}
+
+// takeCatalogue puts a configuration in force unless a later one is.
+func (p *Proxy) takeCatalogue(raw []byte, source string) {
+	c, err := p.Parts.Adapter.Catalogue(raw)
+	if err != nil {
+		p.Journal.Belief("configuration-refused", dispatcher.Field{Name: "error", Value: err.Error()}, dispatcher.Field{Name: "source", Value: source})
+		return
+	}
+	if !p.Catalogue.Take(c, raw) {
+		return
+	}
+	p.shape(c)
+	p.Journal.Belief("configuration-taken", dispatcher.Field{Name: "version", Value: c.Version}, dispatcher.Field{Name: "routes", Value: c.Databases()},
+		dispatcher.Field{Name: "organisations", Value: len(c.Organisations)}, dispatcher.Field{Name: "source", Value: source})
+}
+
+// shape tells the parts what the configuration says.
+func (p *Proxy) shape(c *cataloguer.Catalogue) {
+	limits := make(map[string]limiter.Limit, len(c.Organisations))
+	for name, o := range c.Organisations {
+		limits[name] = o.Limit
+	}
+	now := p.Parts.Clock.Now()
+	p.Sharer.SetLimits(now, limits)
+	p.Dispatcher.SetShape(c.Groups, len(p.Gossiper.Alive(now))+1)
+}
+
+// followInstances keeps the list of instances up to date.
+func (p *Proxy) followInstances(ctx context.Context) error {
+	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(_ time.Time, objects map[string]keeper.Object) {
+		list := make([]observer.Instance, 0, len(objects))
+		for _, o := range objects {
+			i, err := p.Parts.Adapter.Instance(o)
+			if err != nil {
+				p.Journal.Belief("instance-passed-over", dispatcher.Field{Name: "key", Value: o.Key}, dispatcher.Field{Name: "error", Value: err.Error()})
+				continue
+			}
+			list = append(list, i)
+		}
+		p.takeInstances(list)
+	})
+}
+
+// takeInstances takes the platform's list.
+func (p *Proxy) takeInstances(list []observer.Instance) {
+	came, went, turned := p.Observer.SetInstances(list)
+	p.Dispatcher.SetInstances(came, went)
+	for _, i := range came {
+		p.noteInstance("instance-came", i)
+	}
+	for _, i := range went {
+		p.noteInstance("instance-went", i)
+	}
+	for _, i := range turned {
+		p.noteInstance("instance-turned", i)
+		p.Dispatcher.Ask(i.Group)
+	}
+	if len(list) > 0 {
+		p.State.instances.Store(true)
+	}
+}
+
+// noteInstance records a change of the platform's list.
+func (p *Proxy) noteInstance(decision string, i observer.Instance) {
+	p.Journal.Belief(decision, dispatcher.Field{Name: "instance", Value: i.ID}, dispatcher.Field{Name: "group", Value: i.Group},
+		dispatcher.Field{Name: "address", Value: i.Address}, dispatcher.Field{Name: "leads", Value: i.Leads}, dispatcher.Field{Name: "leaving", Value: i.Leaving})
+}
+
+// registration is a VM's entry in the store.
+type registration struct {
+	Peers       netip.AddrPort `json:"peers"`
+	Incarnation uint64         `json:"incarnation"`
+}
+
+// register enters this VM in the store and finds the others there.
+func (p *Proxy) register(ctx context.Context) error {
+	for !p.enter(ctx) {
+		if !wait(ctx, registerRetry) {
+			return nil
+		}
+	}
+	for {
+		page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
+		pause := relistEvery
+		if err == nil {
+			p.Gossiper.Seed(p.addresses(page))
+		} else {
+			pause = registerRetry
+		}
+		if !wait(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+// wait waits and reports whether ctx is still alive.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// enter writes this VM's entry and reports whether it lies in the store.
+func (p *Proxy) enter(ctx context.Context) bool {
+	store, key := p.Parts.Adapter.Store(), vmsPrefix+p.Parts.Settings.VM.ID
+	value, err := json.Marshal(registration{Peers: p.Parts.Settings.Listen.Peers, Incarnation: p.State.incarnation})
+	if err != nil {
+		panic(eris.Wrap(err, "encoding the registration"))
+	}
+	_, err = store.Put(ctx, key, value, keeper.Condition{Absent: true})
+	if errors.Is(err, keeper.ErrConflict) {
+		_, err = store.Put(ctx, key, value, keeper.Condition{})
+	}
+	p.reached(p.Parts.Clock.Now(), err)
+	return err == nil
+}
+
+// addresses returns where the other VMs of the register take messages.
+func (p *Proxy) addresses(page keeper.Page) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, o := range page.Objects {
+		var r registration
+		if err := json.Unmarshal(o.Value, &r); err != nil || !r.Peers.IsValid() {
+			p.Journal.Belief("registration-passed-over", dispatcher.Field{Name: "key", Value: o.Key})
+			continue
+		}
+		if r.Peers != p.Parts.Settings.Listen.Peers {
+			out = append(out, r.Peers)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/assembler/handlers.go
@@ -0,0 +1,106 @@
+package assembler
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+)
+
+// cataloguePath is where a VM tells the others the configuration in force.
+const cataloguePath = "/catalogue"
+
+// peerHandler answers other VMs.
+func (p *Proxy) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+cataloguePath, func(w http.ResponseWriter, _ *http.Request) {
+		_, raw := p.Catalogue.Raw()
+		if raw == nil {
+			http.Error(w, "no configuration is known yet", http.StatusNotFound)
+			return
+		}
+		// A peer that has gone away asks again.
+		_, _ = w.Write(raw)
+	})
+	return mux
+}
+
+// Dump is the state of a process.
+type Dump struct {
+	VM          string                 `json:"vm"`
+	Incarnation uint64                 `json:"incarnation"`
+	Leaving     bool                   `json:"leaving"`
+	Version     uint64                 `json:"version"`
+	Sessions    int                    `json:"sessions"`
+	StoreLost   bool                   `json:"store-lost"`
+	StoreCalls  keeper.Calls           `json:"store-calls"`
+	Duty        leaser.Record          `json:"duty"`
+	Groups      []gossiper.GroupNews   `json:"groups"`
+	Peers       []gossiper.Peer        `json:"peers"`
+	Shares      map[string]shareOfRate `json:"shares"`
+	Lines       uint64                 `json:"lines-left-out"`
+	Connections int                    `json:"connections"`
+	Opened      uint64                 `json:"connections-opened"`
+}
+
+// shareOfRate is a VM's part of the rate of an organisation.
+type shareOfRate struct {
+	Share  float64 `json:"share"`
+	Demand float64 `json:"demand"`
+}
+
+// Dump returns the state of the process.
+func (p *Proxy) Dump() Dump {
+	now := p.Parts.Clock.Now()
+	d := Dump{
+		VM: p.Parts.Settings.VM.ID, Incarnation: p.State.incarnation, Leaving: p.Sessions.Leaving(), Sessions: p.Sessions.Sessions(),
+		StoreLost: p.State.storeLost.Load(), StoreCalls: p.Parts.Adapter.Store().Calls(), Duty: p.Leaser.Known(),
+		Peers: p.Gossiper.Known(now), Shares: map[string]shareOfRate{}, Lines: p.Journal.Dropped(),
+	}
+	d.Connections, d.Opened = p.Dispatcher.Connections()
+	if c := p.Catalogue.Current(); c != nil {
+		d.Version = c.Version
+		for name := range c.Organisations {
+			share, demand := p.Sharer.Share(name)
+			d.Shares[name] = shareOfRate{Share: share, Demand: demand}
+		}
+	}
+	for _, group := range p.Observer.Groups() {
+		primary, term, _ := p.Observer.Primary(group)
+		d.Groups = append(d.Groups, gossiper.GroupNews{Group: group, Primary: primary, Term: term, Unreached: !p.Observer.Unreached(group).IsZero()})
+	}
+	return d
+}
+
+// operatorHandler answers operators.
+func (p *Proxy) operatorHandler() http.Handler {
+	set := metrics.NewSet()
+	gauges := []struct {
+		name  string
+		value func(d Dump) float64
+	}{
+		{"marigoldgauge_callers", func(d Dump) float64 { return float64(d.Sessions) }},
+		{"marigoldgauge_configuration_version", func(d Dump) float64 { return float64(d.Version) }},
+		{"marigoldgauge_store_calls_total{kind=\"read\"}", func(d Dump) float64 { return float64(d.StoreCalls.Reads) }},
+		{"marigoldgauge_store_calls_total{kind=\"write\"}", func(d Dump) float64 { return float64(d.StoreCalls.Writes) }},
+		{"marigoldgauge_store_calls_total{kind=\"watch\"}", func(d Dump) float64 { return float64(d.StoreCalls.Watches) }},
+		{"marigoldgauge_endpoint_connections", func(d Dump) float64 { return float64(d.Connections) }},
+		{"marigoldgauge_endpoint_connections_opened_total", func(d Dump) float64 { return float64(d.Opened) }},
+		{"marigoldgauge_log_lines_left_out_total", func(d Dump) float64 { return float64(d.Lines) }},
+	}
+	for _, g := range gauges {
+		set.NewGauge(g.name, func() float64 { return g.value(p.Dump()) })
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An operator who has gone away asks again.
+		_ = json.NewEncoder(w).Encode(p.Dump())
+	})
+	return mux
+}
--- /dev/null
+++ b/assembler/parts.go
@@ -0,0 +1,73 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/apex/log"
+
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+	"github.com/marigoldgauge/marigoldgauge/loader"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/sessioner"
+	"github.com/marigoldgauge/marigoldgauge/switcher"
+
+	"time"
+)
+
+// Store is the platform's store.
+type Store interface {
+	// Get returns an object, or keeper.ErrNotFound.
+	Get(ctx context.Context, key string) (keeper.Object, error)
+	// Put writes an object under a condition.
+	Put(ctx context.Context, key string, value []byte, cond keeper.Condition) (string, error)
+	// Delete removes an object at a version.
+	Delete(ctx context.Context, key, version string) error
+	// List returns the objects under a prefix.
+	List(ctx context.Context, prefix string) (keeper.Page, error)
+	// Watch waits at most wait for changes under a prefix after a revision.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (keeper.Page, error)
+	// Calls returns the number of calls so far.
+	Calls() keeper.Calls
+}
+
+// Adapter speaks for the platform that a process runs on.
+type Adapter interface {
+	// Store returns the platform's store.
+	Store() Store
+	// Promoter replaces primaries.
+	Promoter() switcher.Promoter
+	// Dialer opens connections to instances.
+	Dialer() connector.Dialer
+	// Caller takes a connection of a caller.
+	Caller(c net.Conn) sessioner.Caller
+	// CatalogueKey returns the key of the configuration in the store.
+	CatalogueKey() string
+	// Catalogue reads the configuration as it lies in the store.
+	Catalogue(raw []byte) (*cataloguer.Catalogue, error)
+	// InstancesPrefix returns the prefix under which instances register in the store.
+	InstancesPrefix() string
+	// Instance reads an instance's entry in the store.
+	Instance(o keeper.Object) (observer.Instance, error)
+	// Ready answers the platform's question whether the VM takes callers.
+	Ready(ready func() bool) http.Handler
+}
+
+// Parts are what a Proxy is built from.
+type Parts struct {
+	// Settings are the settings of the process.
+	Settings loader.Hosted
+	// Adapter speaks for the platform.
+	Adapter Adapter
+	// Transport carries messages between VMs.
+	Transport gossiper.Transport
+	// Clock tells the present time, suspended time included.
+	Clock clocker.Clock
+	// Log takes the lines of the process.
+	Log log.Interface
+}
--- /dev/null
+++ b/assembler/proxy.go
@@ -0,0 +1,201 @@
+// Package assembler builds a proxy process for a platform out of its parts and
+// runs it. It decides nothing.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/sessioner"
+	"github.com/marigoldgauge/marigoldgauge/sharer"
+	"github.com/marigoldgauge/marigoldgauge/switcher"
+)
+
+// Proxy is one process.
+type Proxy struct {
+	dig.In
+
+	Parts      Parts
+	Journal    *journaler.Journaler
+	Catalogue  *cataloguer.Holder
+	Observer   *observer.Observer
+	Sharer     *sharer.Sharer
+	Dispatcher *dispatcher.Dispatcher
+	Sessions   *sessioner.Server
+	Gossiper   *gossiper.Gossiper
+	Leaser     *leaser.Leaser
+	Switcher   *switcher.Switcher
+	State      *state
+}
+
+// state is what the parts of a process tell each other.
+type state struct {
+	incarnation  uint64
+	instances    atomic.Bool
+	storeReached atomic.Int64
+	storeLost    atomic.Bool
+}
+
+const (
+	// httpWithin bounds the request of a peer, an operator or the platform.
+	httpWithin = 5 * time.Second
+	// housekeepEvery is how often idle connections are looked for.
+	housekeepEvery = time.Second
+)
+
+// Run runs the process until ctx ends, drains it, and returns.
+func (p *Proxy) Run(ctx context.Context) error {
+	s := p.Parts.Settings
+	callers, err := net.Listen("tcp4", s.Listen.Callers.String())
+	if err != nil {
+		return eris.Wrap(err, "listening for callers")
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	p.Journal.Belief("started", dispatcher.Field{Name: "vm", Value: s.VM.ID}, dispatcher.Field{Name: "incarnation", Value: p.State.incarnation},
+		dispatcher.Field{Name: "availability-zone", Value: s.VM.AvailabilityZone}, dispatcher.Field{Name: "callers", Value: s.Listen.Callers})
+	for _, duty := range p.duties() {
+		group.Go(func() error { return duty(running) })
+	}
+	group.Go(func() error { return p.accept(running, callers) })
+	group.Go(func() error {
+		<-running.Done()
+		return callers.Close()
+	})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			p.leave(running)
+		case <-running.Done():
+		}
+		stop()
+		return nil
+	})
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// duties are what the process does for as long as it runs.
+func (p *Proxy) duties() []func(ctx context.Context) error {
+	s := p.Parts.Settings
+	return []func(ctx context.Context) error{
+		p.Journal.Run,
+		p.followCatalogue,
+		p.followInstances,
+		p.register,
+		p.Gossiper.Run,
+		p.Switcher.Run,
+		p.housekeep,
+		func(ctx context.Context) error {
+			return serve(ctx, s.Listen.Ready.String(), p.Parts.Adapter.Ready(p.ready))
+		},
+		func(ctx context.Context) error { return serve(ctx, s.Listen.Peers.String(), p.peerHandler()) },
+		func(ctx context.Context) error { return serve(ctx, s.Listen.Operators.String(), p.operatorHandler()) },
+	}
+}
+
+// leave drains the process.
+func (p *Proxy) leave(ctx context.Context) {
+	p.Journal.Belief("leaving", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+	p.Sessions.Drain(ctx)
+	p.Journal.Belief("stopped", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+}
+
+// ready reports whether the VM takes callers.
+func (p *Proxy) ready() bool {
+	return !p.Sessions.Leaving() && p.Catalogue.Current() != nil && p.State.instances.Load()
+}
+
+// accept takes callers until ctx ends.
+func (p *Proxy) accept(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			p.Journal.Belief("accept-failed", dispatcher.Field{Name: "error", Value: err.Error()})
+			// Out of descriptors, most likely: some will be free again soon.
+			time.Sleep(acceptPause)
+			continue
+		}
+		if p.Sessions.Sessions() >= p.mostSessions() {
+			p.Journal.Belief("caller-turned-away", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+			_ = c.Close()
+			continue
+		}
+		p.Sessions.Serve(ctx, p.Parts.Adapter.Caller(c))
+	}
+}
+
+const (
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 50 * time.Millisecond
+	// callersPart is the part of the descriptors that callers may use.
+	callersPart = 0.8
+	// defaultDescriptors is assumed where the settings name no number.
+	defaultDescriptors = 1024
+)
+
+// mostSessions returns the number of callers that the VM takes.
+func (p *Proxy) mostSessions() int {
+	n := p.Parts.Settings.VM.Descriptors
+	if n <= 0 {
+		n = defaultDescriptors
+	}
+	return int(callersPart * float64(n))
+}
+
+// housekeep closes what is no longer used.
+func (p *Proxy) housekeep(ctx context.Context) error {
+	ticker := time.NewTicker(housekeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.Dispatcher.Sweep(p.Parts.Clock.Now())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// serve serves HTTP at an address until ctx ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrapf(err, "listening at %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: httpWithin}
+	var group errgroup.Group
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	group.Go(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return eris.Wrapf(err, "serving at %s", address)
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/cataloguer/holder.go
@@ -0,0 +1,73 @@
+package cataloguer
+
+import (
+	"sync"
+	"time"
+)
+
+// Holder holds the catalogue in force. It is safe for concurrent use.
+type Holder struct {
+	mu        sync.RWMutex
+	catalogue *Catalogue
+	raw       []byte
+	confirmed time.Time
+	changed   chan struct{}
+}
+
+// NewHolder returns a Holder without a catalogue.
+func NewHolder() *Holder {
+	return &Holder{changed: make(chan struct{})}
+}
+
+// Current returns the catalogue in force, or nil before the first one.
+func (h *Holder) Current() *Catalogue {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.catalogue
+}
+
+// Raw returns the catalogue in force as the operator wrote it, for other VMs.
+func (h *Holder) Raw() (version uint64, raw []byte) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.catalogue == nil {
+		return 0, nil
+	}
+	return h.catalogue.Version, h.raw
+}
+
+// Take puts a catalogue in force unless a later one is, and reports whether it did.
+func (h *Holder) Take(c *Catalogue, raw []byte) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.catalogue != nil && c.Version <= h.catalogue.Version {
+		return false
+	}
+	h.catalogue, h.raw = c, raw
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return true
+}
+
+// Confirm notes that the store named no later version at the time at.
+func (h *Holder) Confirm(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.confirmed) {
+		h.confirmed = at
+	}
+}
+
+// Confirmed returns the last time at which the store named no later version.
+func (h *Holder) Confirmed() time.Time {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.confirmed
+}
+
+// Changed returns a channel that is closed when the next catalogue is in force.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.changed
+}
--- /dev/null
+++ b/connector/target.go
@@ -0,0 +1,13 @@
+package connector
+
+import "net/netip"
+
+// Target is an instance to connect to.
+type Target struct {
+	// Group is the group that the instance belongs to.
+	Group string
+	// Instance is the id of the instance.
+	Instance string
+	// Address is where the instance listens.
+	Address netip.AddrPort
+}
--- /dev/null
+++ b/dispatcher/confirm.go
@@ -0,0 +1,190 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+const (
+	// confirmWithin bounds one question to an instance.
+	confirmWithin = 400 * time.Millisecond
+	// refreshWithin bounds a round that nobody waits for.
+	refreshWithin = time.Second
+)
+
+// round is one set of questions to a group, shared by all who wait for it.
+type round struct {
+	asked time.Time
+	done  chan struct{}
+}
+
+// confirm makes sure that the primary leads alone as of a time, and reports whether it does.
+func (d *Dispatcher) confirm(ctx context.Context, group string, asOf time.Time) bool {
+	for {
+		if _, _, ok := d.Observer.Primary(group); ok && !d.Observer.Confirmed(group).Before(asOf) {
+			return true
+		}
+		r := d.ask(group)
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return false
+		}
+		if !r.asked.Before(asOf) && d.Observer.Confirmed(group).Before(asOf) {
+			if !pause(ctx, pollEvery) {
+				return false
+			}
+		}
+	}
+}
+
+// Ask asks the instances of a group what they are, without waiting for the answers.
+func (d *Dispatcher) Ask(group string) {
+	d.ask(group)
+}
+
+// ask starts a round unless one is under way.
+func (d *Dispatcher) ask(group string) *round {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.rounds[group]; r != nil {
+		return r
+	}
+	r := &round{asked: d.Clock.Now(), done: make(chan struct{})}
+	d.rounds[group] = r
+	d.background.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), refreshWithin)
+		defer cancel()
+		d.survey(ctx, group)
+		d.mu.Lock()
+		delete(d.rounds, group)
+		d.mu.Unlock()
+		close(r.done)
+		return nil
+	})
+	return r
+}
+
+// survey asks the primary for its position and a replica whether it still
+// follows; without a known primary it asks all instances.
+func (d *Dispatcher) survey(ctx context.Context, group string) {
+	primary, _, known := d.Observer.Primary(group)
+	all := d.Observer.Instances(group)
+	if !known {
+		var g errgroup.Group
+		for _, i := range all {
+			g.Go(func() error {
+				d.question(ctx, i)
+				return nil
+			})
+		}
+		_ = g.Wait()
+		return
+	}
+	var g errgroup.Group
+	p := slices.IndexFunc(all, func(i observer.Instance) bool { return i.ID == primary })
+	if p >= 0 && d.Observer.NeedsSample(group, d.Clock.Now()) {
+		asked := d.Clock.Now()
+		g.Go(func() error {
+			d.questionAt(ctx, all[p], asked)
+			return nil
+		})
+	}
+	g.Go(func() error {
+		d.questionReplica(ctx, group, primary)
+		return nil
+	})
+	_ = g.Wait()
+}
+
+// questionReplica asks the replicas one after the other until one confirms the primary.
+func (d *Dispatcher) questionReplica(ctx context.Context, group, primary string) {
+	tried := []string{primary}
+	for ctx.Err() == nil {
+		i, ok := d.Observer.Choose(d.Clock.Now(), observer.Need{Group: group, Tried: tried})
+		if !ok {
+			return
+		}
+		before := d.Observer.Confirmed(group)
+		d.question(ctx, i)
+		if d.Observer.Confirmed(group).After(before) {
+			return
+		}
+		tried = append(tried, i.ID)
+	}
+}
+
+// question asks an instance for its status.
+func (d *Dispatcher) question(ctx context.Context, i observer.Instance) {
+	d.questionAt(ctx, i, d.Clock.Now())
+}
+
+// questionAt asks an instance for its status and counts the answer from asked.
+func (d *Dispatcher) questionAt(ctx context.Context, i observer.Instance, asked time.Time) {
+	st, err := d.Control(ctx, i, phraser.Statement{Kind: phraser.Status})
+	if err != nil {
+		return
+	}
+	d.Observer.ObserveStatus(asked, i, st)
+}
+
+// Control runs a statement of the product on an instance and returns its status.
+func (d *Dispatcher) Control(ctx context.Context, i observer.Instance, s phraser.Statement) (phraser.InstanceStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmWithin)
+	defer cancel()
+	pool := d.pool(i.ID)
+	if pool == nil {
+		return phraser.InstanceStatus{}, errGone
+	}
+	d.Observer.Begin(i)
+	link, err := pool.Borrow(ctx)
+	if err != nil {
+		d.failControl(i, err)
+		return phraser.InstanceStatus{}, err
+	}
+	sent := d.Clock.Now()
+	a, err := link.Exchange(ctx, s)
+	now := d.Clock.Now()
+	link.Release(now, err == nil)
+	if err != nil {
+		d.Observer.Fail(now, i)
+		return phraser.InstanceStatus{}, err
+	}
+	d.Observer.Answered(sent, i, a)
+	if a.Status == nil {
+		return phraser.InstanceStatus{}, &refusedError{a}
+	}
+	return *a.Status, nil
+}
+
+// failControl tells the observer why no connection could be had.
+func (d *Dispatcher) failControl(i observer.Instance, err error) {
+	var refusal *connector.Refusal
+	if errors.As(err, &refusal) || errors.Is(err, connector.ErrNoRoom) {
+		d.Observer.Abandon(i)
+		return
+	}
+	d.Observer.Fail(d.Clock.Now(), i)
+}
+
+// errGone means that an instance left the platform's list.
+var errGone = eris.New("the instance is gone")
+
+// refusedError is an answer that carries no status.
+type refusedError struct {
+	answer phraser.Answer
+}
+
+// Error describes the answer.
+func (e *refusedError) Error() string {
+	return "the instance refused: " + e.answer.Result.String() + " " + e.answer.Detail
+}
--- /dev/null
+++ b/dispatcher/transaction.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// rollbackWithin bounds the rollback of a transaction whose caller has been
+// answered; after that the connection is closed, which rolls back as well.
+const rollbackWithin = 500 * time.Millisecond
+
+// Transaction is a transaction that is pinned to a connection.
+type Transaction struct {
+	d     *Dispatcher
+	unit  Unit
+	at    observer.Instance
+	link  *connector.Link
+	vigil *vigil
+	wrote bool
+}
+
+// Open begins a transaction; without one the answer tells why.
+func (d *Dispatcher) Open(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
+	if a, ok := d.admit(ctx, u); !ok {
+		return nil, a
+	}
+	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
+	defer cancel()
+	var t *Transaction
+	a := d.repeat(ctx, u, func(i observer.Instance, after tracker.Position) (phraser.Answer, bool) {
+		link, a, err := d.open(ctx, u, i, after)
+		if link == nil {
+			return a, false
+		}
+		if err == nil && a.Result == phraser.Done {
+			t = &Transaction{d: d, unit: u, at: i, link: link}
+			return a, true
+		}
+		link.Release(d.Clock.Now(), err == nil && a.State == phraser.Idle)
+		return a, false
+	})
+	return t, a
+}
+
+// Instance returns the id of the instance that runs the transaction.
+func (t *Transaction) Instance() string {
+	return t.at.ID
+}
+
+// Run runs a statement in the transaction. After an answer whose state is not
+// InTransaction the transaction is over and nothing of it is kept.
+func (t *Transaction) Run(ctx context.Context, u Unit) phraser.Answer {
+	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
+	defer cancel()
+	first := t.vigil == nil
+	if first {
+		t.vigil = t.d.watch(ctx, t.unit, t.at)
+	}
+	t.wrote = t.wrote || u.Writes
+	a, err := t.exchange(ctx, u)
+	if first && !t.vigil.wait() && err == nil {
+		return t.abandon(ctx, u, "the primary is not confirmed")
+	}
+	if err != nil {
+		t.end(false)
+		return t.aborted(u, err.Error())
+	}
+	if a.State == phraser.InTransaction {
+		return a
+	}
+	t.end(false)
+	if a.Result.DidNotRun() && a.Result != phraser.ReadOnly {
+		return t.aborted(u, "the instance answered "+a.Result.String())
+	}
+	a.State = phraser.Broken
+	return a
+}
+
+// exchange runs a statement, again while the instance has no room for it.
+func (t *Transaction) exchange(ctx context.Context, u Unit) (phraser.Answer, error) {
+	for {
+		if err := t.d.adopt(ctx, u, t.link); err != nil {
+			return phraser.Answer{}, err
+		}
+		s := u.Statement
+		sent := u
+		sent.Writes = u.Writes && s.Kind == phraser.Commit
+		t.d.Observer.Begin(t.at)
+		a, err := t.d.exchange(ctx, sent, t.at, t.link, s)
+		again := err == nil && a.State == phraser.InTransaction && (a.Result == phraser.Busy || a.Result == phraser.Unprepared)
+		if !again || !pause(ctx, pollEvery) {
+			return a, err
+		}
+	}
+}
+
+// Commit ends the transaction and keeps its changes.
+func (t *Transaction) Commit(ctx context.Context, u Unit) phraser.Answer {
+	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
+	defer cancel()
+	u.Writes = t.wrote
+	a, err := t.exchange(ctx, u)
+	t.end(err == nil && a.State == phraser.Idle)
+	if err == nil {
+		a.State = phraser.Idle
+		return a
+	}
+	if t.wrote {
+		t.d.Journal.Request("in-doubt", u.Statement.ID, Field{"code", coder.OutcomeUnknown}, Field{"instance", t.at.ID}, Field{"error", err.Error()})
+		return refuse(phraser.InDoubt, coder.OutcomeUnknown, "the instance did not answer the commit")
+	}
+	a = t.aborted(u, err.Error())
+	a.State = phraser.Idle
+	return a
+}
+
+// Rollback drops the transaction; its caller has been answered.
+func (t *Transaction) Rollback(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rollbackWithin)
+	defer cancel()
+	t.d.Observer.Begin(t.at)
+	a, err := t.d.exchange(ctx, t.unit, t.at, t.link, phraser.Statement{Kind: phraser.Rollback})
+	t.end(err == nil && a.State == phraser.Idle)
+}
+
+// abandon rolls a transaction back whose answers can't be vouched for.
+func (t *Transaction) abandon(ctx context.Context, u Unit, why string) phraser.Answer {
+	t.Rollback(context.WithoutCancel(ctx))
+	return t.aborted(u, why)
+}
+
+// aborted is the answer of a transaction of which nothing is kept.
+func (t *Transaction) aborted(u Unit, why string) phraser.Answer {
+	t.d.Journal.Request("abort", u.Statement.ID, Field{"code", coder.QueueTimeout}, Field{"instance", t.at.ID},
+		Field{"group", t.at.Group}, Field{"reason", why}, Field{"kind", u.Statement.Kind})
+	a := refuse(phraser.Aborted, coder.QueueTimeout, why)
+	a.State = phraser.Broken
+	return a
+}
+
+// end gives the connection back.
+func (t *Transaction) end(reusable bool) {
+	t.link.Release(t.d.Clock.Now(), reusable)
+}
+
+// Wrote reports whether a statement of the transaction may have changed data.
+func (t *Transaction) Wrote() bool {
+	return t.wrote
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,112 @@
+// Package follower keeps a copy of the objects under one prefix of the
+// platform's store up to date, and knows how old the copy is.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+)
+
+const (
+	// retryFirst is the pause after a failed call; it doubles up to retryMost,
+	// within which a change must be noticed once the store is back.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// Follower follows one prefix.
+type Follower struct {
+	// Store is the platform's store.
+	Store Store
+	// Prefix is what is followed.
+	Prefix string
+	// Wait is how long one watch waits; a silent connection is noticed within it.
+	Wait time.Duration
+	// Clock tells the present time.
+	Clock clocker.Clock
+	// Apply takes the whole copy after each change, with the time as of which it was complete.
+	Apply func(asOf time.Time, objects map[string]keeper.Object)
+	// Reached is told of each call whether the store answered.
+	Reached func(now time.Time, err error)
+
+	objects  map[string]keeper.Object
+	revision uint64
+}
+
+// Run follows the prefix until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.Reached(f.Clock.Now(), err)
+		if err == nil {
+			pause = retryFirst
+			continue
+		}
+		if !sleep(ctx, pause/2+rand.N(pause)) {
+			return nil
+		}
+		pause = min(2*pause, retryMost)
+	}
+	return nil
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// step makes one call and applies its answer.
+func (f *Follower) step(ctx context.Context) error {
+	asked := f.Clock.Now()
+	if f.objects == nil {
+		page, err := f.Store.List(ctx, f.Prefix)
+		if err != nil {
+			return err
+		}
+		f.objects = map[string]keeper.Object{}
+		f.merge(page)
+		f.Apply(asked, f.objects)
+		return nil
+	}
+	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait)
+	if err != nil {
+		return err
+	}
+	if page.TooOld {
+		f.objects = nil
+		return nil
+	}
+	f.merge(page)
+	f.Apply(asked, f.objects)
+	return nil
+}
+
+// merge takes a page into the copy.
+func (f *Follower) merge(page keeper.Page) {
+	for _, o := range page.Objects {
+		if o.Deleted {
+			delete(f.objects, o.Key)
+			continue
+		}
+		if have, ok := f.objects[o.Key]; ok && have.Revision > o.Revision {
+			continue
+		}
+		f.objects[o.Key] = o
+	}
+	f.revision = max(f.revision, page.Revision)
+}
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,180 @@
+// Package gossiper lets the VMs of the fleet tell each other what they know.
+//
+// A lost or late message only makes the knowledge older; nothing that needs
+// agreement is decided here.
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+)
+
+const (
+	// interval is the time between two messages to the same VM: a change of
+	// demand is known within a tenth of the window in which rates are counted.
+	interval = 500 * time.Millisecond
+	// aliveFor is the time without a message after which a VM counts as silent:
+	// four lost messages in a row.
+	aliveFor = 4 * interval
+	// goneAfter is the time without a message after which a VM is forgotten.
+	goneAfter = 20 * time.Second
+	// maxMessage is the largest datagram that is read.
+	maxMessage = 64 << 10
+)
+
+// Gossiper exchanges messages with the other VMs. It is safe for concurrent use.
+type Gossiper struct {
+	transport Transport
+	clock     clocker.Clock
+	compose   func(now time.Time) Message
+	heard     func(now time.Time, m Message)
+
+	mu       sync.Mutex
+	self     Message
+	peers    map[string]*Peer
+	seeds    []netip.AddrPort
+	sequence uint64
+	urgent   chan struct{}
+}
+
+// New returns a Gossiper. compose writes this VM's message but for its
+// sequence; heard is told of each message of another VM.
+func New(t Transport, c clocker.Clock, compose func(now time.Time) Message, heard func(now time.Time, m Message)) *Gossiper {
+	return &Gossiper{transport: t, clock: c, compose: compose, heard: heard, peers: map[string]*Peer{}, urgent: make(chan struct{}, 1)}
+}
+
+// Seed names addresses of VMs that may not have been heard yet.
+func (g *Gossiper) Seed(addresses []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = addresses
+}
+
+// Alive returns the other VMs that were heard a moment ago, in ascending order of name.
+func (g *Gossiper) Alive(now time.Time) []Peer {
+	return g.filter(func(p *Peer) bool { return now.Sub(p.Heard) < aliveFor })
+}
+
+// Known returns the other VMs that are not known to be gone.
+func (g *Gossiper) Known(now time.Time) []Peer {
+	return g.filter(func(p *Peer) bool { return now.Sub(p.Heard) < goneAfter })
+}
+
+// filter returns the peers that pass a test.
+func (g *Gossiper) filter(keep func(p *Peer) bool) []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Peer
+	for _, p := range g.peers {
+		if keep(p) {
+			out = append(out, *p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Hurry sends the next message at once.
+func (g *Gossiper) Hurry() {
+	select {
+	case g.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges messages until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return g.receive(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return g.transport.Close()
+	})
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		g.tell()
+		select {
+		case <-ticker.C:
+		case <-g.urgent:
+		case <-ctx.Done():
+		}
+	}
+	return group.Wait()
+}
+
+// tell sends this VM's message to all others.
+func (g *Gossiper) tell() {
+	now := g.clock.Now()
+	m := g.compose(now)
+	g.mu.Lock()
+	g.sequence++
+	m.Sequence = g.sequence
+	g.self = m
+	targets := map[netip.AddrPort]bool{}
+	for _, a := range g.seeds {
+		targets[a] = true
+	}
+	for name, p := range g.peers {
+		if now.Sub(p.Heard) > goneAfter {
+			delete(g.peers, name)
+			continue
+		}
+		targets[p.Address] = true
+	}
+	g.mu.Unlock()
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	for a := range targets {
+		if a != m.Address {
+			// A datagram that cannot be sent is as good as lost; silence tells.
+			_ = g.transport.Send(a, b)
+		}
+	}
+}
+
+// receive takes the messages of the others until ctx ends.
+func (g *Gossiper) receive(ctx context.Context) error {
+	b := make([]byte, maxMessage)
+	for {
+		n, err := g.transport.Receive(b)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		var m Message
+		if cbor.Unmarshal(b[:n], &m) == nil {
+			g.take(m)
+		}
+	}
+}
+
+// take notes a message unless a later one of the same VM has come.
+func (g *Gossiper) take(m Message) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	p := g.peers[m.Name]
+	stale := m.Name == g.self.Name || (p != nil && p.outdates(now, m))
+	if !stale {
+		g.peers[m.Name] = &Peer{Message: m, Heard: now}
+	}
+	g.mu.Unlock()
+	if !stale {
+		g.heard(now, m)
+	}
+}
--- /dev/null
+++ b/gossiper/message.go
@@ -0,0 +1,39 @@
+package gossiper
+
+import "net/netip"
+
+// Message is what a VM tells the others, several times a second.
+type Message struct {
+	// Name names the VM.
+	Name string `cbor:"1,keyasint"`
+	// Address is where the VM takes messages.
+	Address netip.AddrPort `cbor:"2,keyasint"`
+	// Incarnation tells the processes of one VM apart; a later one is greater.
+	Incarnation uint64 `cbor:"3,keyasint"`
+	// Sequence orders the messages of one process.
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Leaving reports that the VM takes no more callers.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Version is the version of the configuration in force there.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
+	// Groups tell of the primaries.
+	Groups []GroupNews `cbor:"7,keyasint,omitempty"`
+	// Demand is how many operations each organisation asked for, in hundredths a second.
+	Demand map[string]uint32 `cbor:"8,keyasint,omitempty"`
+	// StoreUnreachable reports that the VM cannot reach the platform's store.
+	StoreUnreachable bool `cbor:"9,keyasint,omitempty"`
+}
+
+// GroupNews is what a VM knows of the primary of one group.
+type GroupNews struct {
+	// Group names the group.
+	Group string `cbor:"1,keyasint"`
+	// Primary is the id of the primary.
+	Primary string `cbor:"2,keyasint,omitempty"`
+	// Term is the term of the primary.
+	Term uint64 `cbor:"3,keyasint,omitempty"`
+	// Unreached reports that the primary does not serve the VM.
+	Unreached bool `cbor:"4,keyasint,omitempty"`
+	// Reached reports that the primary answered the VM a moment ago.
+	Reached bool `cbor:"5,keyasint,omitempty"`
+}
--- a/keeper/object.go
+++ b/keeper/object.go
@@ -10,4 +10,6 @@
 	Revision uint64 `json:"revision"`
 	// Value is the content, at most a megabyte.
 	Value []byte `json:"value"`
+	// Deleted reports, in a watch, that the object is gone.
+	Deleted bool `json:"deleted,omitempty"`
 }
--- /dev/null
+++ b/leaser/leaser.go
@@ -0,0 +1,159 @@
+// Package leaser lets one VM at a time hold a duty, by a lease with a fencing
+// token in the platform's store.
+//
+// A lease is written when it is needed, not renewed while nothing happens. Its
+// holder counts it from before the write; another VM takes it once it has seen
+// the same revision for the whole lease. No clocks are compared.
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
+)
+
+// ErrHeld means that another VM holds the duty, or may hold it.
+var ErrHeld = eris.New("another VM holds the duty")
+
+// Leaser acquires one duty on behalf of one process. It is safe for concurrent use.
+type Leaser struct {
+	store       Store
+	clock       clocker.Clock
+	key         string
+	holder      string
+	incarnation uint64
+	lease       time.Duration
+
+	mu       sync.Mutex
+	record   Record
+	version  string
+	revision uint64
+	since    time.Time
+	grant    Grant
+}
+
+// New returns a Leaser of the object key for a holder.
+func New(s Store, c clocker.Clock, key, holder string, incarnation uint64, lease time.Duration) *Leaser {
+	return &Leaser{store: s, clock: c, key: key, holder: holder, incarnation: incarnation, lease: lease}
+}
+
+// Grant returns the right that this process has.
+func (l *Leaser) Grant() Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant
+}
+
+// Known returns the lease as last seen.
+func (l *Leaser) Known() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record
+}
+
+// Look reads the lease, so that its age is known when it is needed.
+func (l *Leaser) Look(ctx context.Context) error {
+	asked := l.clock.Now()
+	o, err := l.store.Get(ctx, l.key)
+	if errors.Is(err, keeper.ErrNotFound) {
+		return l.see(asked, keeper.Object{})
+	}
+	if err != nil {
+		return err
+	}
+	return l.see(asked, o)
+}
+
+// see takes the lease as it was read; without a version there is none.
+func (l *Leaser) see(now time.Time, o keeper.Object) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var r Record
+	if o.Version != "" {
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			return eris.Wrapf(err, "decoding the lease %s", l.key)
+		}
+	}
+	if l.since.IsZero() || o.Version != l.version {
+		l.since = now
+	}
+	l.record, l.version, l.revision = r, o.Version, o.Revision
+	return nil
+}
+
+// Acquire takes or renews the duty and notes the terms that the holder is about to begin.
+func (l *Leaser) Acquire(ctx context.Context, intents map[string]uint64) (Grant, error) {
+	if err := l.Look(ctx); err != nil {
+		return Grant{}, err
+	}
+	next, cond, err := l.next(intents)
+	if err != nil {
+		return Grant{}, err
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Grant{}, eris.Wrap(err, "encoding the lease")
+	}
+	asked := l.clock.Now()
+	version, err := l.store.Put(ctx, l.key, value, cond)
+	if err != nil {
+		return l.recover(ctx, asked, next, err)
+	}
+	return l.hold(asked, next, version), nil
+}
+
+// next returns the lease to write, or ErrHeld.
+func (l *Leaser) next(intents map[string]uint64) (Record, keeper.Condition, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mine := l.record.Holder == l.holder && l.record.Incarnation == l.incarnation
+	own := l.record.Holder == l.holder
+	if l.version != "" && !own && l.clock.Now().Sub(l.since) < l.lease {
+		return Record{}, keeper.Condition{}, ErrHeld
+	}
+	next := Record{Holder: l.holder, Incarnation: l.incarnation, Token: l.record.Token, Turn: l.record.Turn + 1, Intents: map[string]uint64{}}
+	if !mine {
+		next.Token++
+	}
+	for group, term := range l.record.Intents {
+		next.Intents[group] = term
+	}
+	for group, term := range intents {
+		next.Intents[group] = max(term, next.Intents[group])
+	}
+	return next, keeper.Condition{Absent: l.version == "", Version: l.version}, nil
+}
+
+// recover finds out whether a write without an answer took effect.
+func (l *Leaser) recover(ctx context.Context, asked time.Time, wrote Record, cause error) (Grant, error) {
+	if err := l.Look(ctx); err != nil {
+		return Grant{}, eris.Wrapf(cause, "the outcome is unknown (%s)", err)
+	}
+	l.mu.Lock()
+	r, version := l.record, l.version
+	l.mu.Unlock()
+	if r.Holder == wrote.Holder && r.Incarnation == wrote.Incarnation && r.Turn == wrote.Turn {
+		return l.hold(asked, wrote, version), nil
+	}
+	if errors.Is(cause, keeper.ErrConflict) {
+		return Grant{}, ErrHeld
+	}
+	return Grant{}, cause
+}
+
+// hold notes a lease that was written.
+func (l *Leaser) hold(asked time.Time, r Record, version string) Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.record, l.version, l.since = r, version, asked
+	// A quarter of the lease covers an act that is still on its way when the right ends.
+	l.grant = Grant{Holder: l.holder, Token: r.Token, Until: asked.Add(l.lease * 3 / 4)}
+	return l.grant
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -27,7 +27,7 @@
 func Parse(name string, raw []byte) (Settings, error) {
 	var s Settings
 	if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
-		return Settings{}, coder.New(coder.SettingsInvalid, explain(name, err))
+		return Settings{}, coder.New(coder.SettingsInvalid, explain(name, err, s))
 	}
 	s.Default()
 	if err := s.Check(); err != nil {
@@ -36,14 +36,14 @@
 	return s, nil
 }
 
-// explain describes an error with file, line, column and, for an unknown field,
-// the nearest known name.
-func explain(name string, err error) string {
+// explain describes an error in settings of a type with file, line, column and,
+// for an unknown field, the nearest known name.
+func explain[T any](name string, err error, settings T) string {
 	var unknown *yaml.UnknownFieldError
 	if errors.As(err, &unknown) {
 		field := strings.Trim(strings.TrimPrefix(unknown.Message, "unknown field "), "\"")
 		at := unknown.Token.Position
-		return fmt.Sprintf("%s:%d:%d: unknown field %q; did you mean %q?", name, at.Line, at.Column, field, nearest(field))
+		return fmt.Sprintf("%s:%d:%d: unknown field %q; did you mean %q?", name, at.Line, at.Column, field, nearest(field, settings))
 	}
 	var syntax yaml.Error
 	if errors.As(err, &syntax) && syntax.GetToken() != nil {
@@ -53,10 +53,10 @@
 	return name + ": " + err.Error()
 }
 
-// nearest returns the known field name that is the most like a name.
-func nearest(field string) string {
+// nearest returns the field name of settings that is the most like a name.
+func nearest(field string, settings any) string {
 	known := map[string]bool{}
-	collect(reflect.TypeFor[Settings](), known)
+	collect(reflect.TypeOf(settings), known)
 	names := make([]string, 0, len(known))
 	for n := range known {
 		names = append(names, n)
--- /dev/null
+++ b/observer/state.go
@@ -0,0 +1,106 @@
+package observer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+const (
+	// latencyWeight is the weight of a new measurement in the mean answer time.
+	latencyWeight = 0.2
+	// forgetLatency is the time after which a mean without news counts half:
+	// a slow instance is tried again a few seconds later.
+	forgetLatency = 3 * time.Second
+	// suspectFirst is how long an instance is avoided after its first failure;
+	// it doubles up to suspectMost.
+	suspectFirst = 150 * time.Millisecond
+	suspectMost  = 2 * time.Second
+	// laggingFor is how long a replica that lacked a position is avoided for later ones.
+	laggingFor = 150 * time.Millisecond
+	// sampleEvery is the distance between samples of a primary's position.
+	sampleEvery = 25 * time.Millisecond
+	// keptSamples covers several seconds, the largest staleness of a route.
+	keptSamples = 256
+)
+
+// instanceState is what this VM knows of one instance.
+type instanceState struct {
+	Instance
+	base         time.Duration
+	latency      time.Duration
+	measured     time.Time
+	underWay     int
+	failures     int
+	failingSince time.Time
+	suspectUntil time.Time
+	answered     time.Time
+	seen         tracker.Position
+	lacked       tracker.Position
+	laggingUntil time.Time
+}
+
+// expected returns how long an answer is likely to take.
+func (s *instanceState) expected(now time.Time) time.Duration {
+	latency := s.latency
+	if age := now.Sub(s.measured); age > forgetLatency && latency > s.base {
+		latency = s.base + time.Duration(float64(latency-s.base)*float64(forgetLatency)/float64(age))
+	}
+	if s.ColdFor > 0 {
+		latency += latency / 2
+	}
+	return latency + latency*time.Duration(s.underWay)/time.Duration(max(s.Slots, 1))
+}
+
+// sample is a position that a primary had reached at a time.
+type sample struct {
+	at       time.Time
+	position tracker.Position
+}
+
+// groupState is what this VM knows of one group.
+type groupState struct {
+	instances map[string]*instanceState
+	primary   string
+	term      uint64
+	highest   uint64
+	deposed   bool
+	samples   []sample
+	confirmed time.Time
+	unreached time.Time
+	// stuck counts the commits in a row that were not acknowledged, the first sent at stuckSince.
+	stuck      int
+	stuckSince time.Time
+}
+
+// take makes an instance the primary of a later term.
+func (g *groupState) take(id string, term uint64) {
+	g.primary, g.term, g.deposed = id, term, g.highest > term
+	g.samples = nil
+	g.confirmed = time.Time{}
+	g.unreached = time.Time{}
+	g.stuck, g.stuckSince = 0, time.Time{}
+}
+
+// addSample notes the position that the primary had reached at a time.
+func (g *groupState) addSample(at time.Time, p tracker.Position) {
+	if p.Term > g.term {
+		g.outrun(p.Term)
+		return
+	}
+	i, _ := slices.BinarySearchFunc(g.samples, at, func(s sample, at time.Time) int { return s.at.Compare(at) })
+	if i > 0 && at.Sub(g.samples[i-1].at) < sampleEvery {
+		return
+	}
+	g.samples = slices.Insert(g.samples, i, sample{at: at, position: p})
+	if len(g.samples) > keptSamples {
+		g.samples = append(g.samples[:0], g.samples[len(g.samples)-keptSamples:]...)
+	}
+}
+
+// outrun notes that a later term than the known one has begun.
+func (g *groupState) outrun(term uint64) {
+	g.highest = max(g.highest, term)
+	g.deposed = true
+}
--- /dev/null
+++ b/sessioner/runner.go
@@ -0,0 +1,16 @@
+package sessioner
+
+import (
+	"context"
+
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+// Runner runs statements on instances.
+type Runner interface {
+	// Run runs a single statement outside a transaction.
+	Run(ctx context.Context, u dispatcher.Unit) phraser.Answer
+	// Open begins a transaction; without one the answer tells why.
+	Open(ctx context.Context, u dispatcher.Unit) (*dispatcher.Transaction, phraser.Answer)
+}
--- /dev/null
+++ b/switcher/parts.go
@@ -0,0 +1,65 @@
+package switcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+// Controller runs statements of the product on instances.
+type Controller interface {
+	// Control runs a statement on an instance and returns its status.
+	Control(ctx context.Context, i observer.Instance, s phraser.Statement) (phraser.InstanceStatus, error)
+	// Ask asks the instances of a group what they are.
+	Ask(group string)
+}
+
+// Fleet knows the other VMs.
+type Fleet interface {
+	// Alive returns the other VMs that were heard a moment ago.
+	Alive(now time.Time) []gossiper.Peer
+	// Hurry tells them news at once.
+	Hurry()
+}
+
+// Lease is the duty of replacing primaries.
+type Lease interface {
+	// Acquire takes or renews the duty.
+	Acquire(ctx context.Context, intents map[string]uint64) (leaser.Grant, error)
+	// Look reads the lease.
+	Look(ctx context.Context) error
+}
+
+// Journal takes the decisions.
+type Journal interface {
+	// Belief records a decision that changes what the process takes for true.
+	Belief(decision string, fields ...dispatcher.Field)
+}
+
+// Parts are what a Switcher is built from.
+type Parts struct {
+	// Name names this VM.
+	Name string
+	// Observer knows the instances.
+	Observer *observer.Observer
+	// Controller speaks to the instances.
+	Controller Controller
+	// Fleet knows the other VMs.
+	Fleet Fleet
+	// Lease is the duty.
+	Lease Lease
+	// Promoter replaces primaries.
+	Promoter Promoter
+	// Fit reports whether this VM may take the duty now.
+	Fit func(now time.Time) bool
+	// Clock tells the present time.
+	Clock clocker.Clock
+	// Journal takes the decisions.
+	Journal Journal
+}
--- /dev/null
+++ b/switcher/replace.go
@@ -0,0 +1,151 @@
+package switcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+const (
+	// promotedWithin is how long an instance may take to lead once it was named.
+	promotedWithin = 3 * time.Second
+	// promotedPoll is how often it is asked whether it leads.
+	promotedPoll = 40 * time.Millisecond
+	// pausedFor is the time after which a stopped replica belongs to a
+	// replacement that its VM has given up: longer than a replacement takes.
+	pausedFor = 6 * time.Second
+)
+
+var (
+	errUnsafe   = eris.New("no instance is known to hold every acknowledged commit")
+	errSettled  = eris.New("a primary of a later term leads")
+	errExpired  = eris.New("the right to act has ended")
+	errUnproved = eris.New("the instance does not lead yet")
+)
+
+// replace lets another instance lead a group.
+func (s *Switcher) replace(ctx context.Context, group string, v Verdict) error {
+	instances := s.Observer.Instances(group)
+	formerID, known, _ := s.Observer.Primary(group)
+	newest := known
+	for _, w := range s.survey(ctx, instances, phraser.Statement{Kind: phraser.Status}) {
+		if w.Status != nil {
+			newest = max(newest, w.Status.Term, w.Status.PausedFor)
+		}
+	}
+	if id, term, ok := s.Observer.Primary(group); ok && (term > known || (v == Leaderless && id != "")) {
+		return errSettled
+	}
+	term := newest + 1
+	grant, err := s.Lease.Acquire(ctx, map[string]uint64{group: term})
+	if err != nil {
+		return eris.Wrap(err, "taking the duty")
+	}
+	s.Journal.Belief("replacement-begun", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "verdict", Value: v},
+		dispatcher.Field{Name: "former", Value: formerID}, dispatcher.Field{Name: "term", Value: term}, dispatcher.Field{Name: "token", Value: grant.Token})
+	former, replicas := s.stop(ctx, instances, formerID, term)
+	next, ok := Elect(former, replicas)
+	if !ok {
+		s.release(ctx, replicas)
+		return errUnsafe
+	}
+	return s.promote(ctx, grant, next, term)
+}
+
+// stop keeps the former primary from acknowledging anything, and returns what the instances said.
+func (s *Switcher) stop(ctx context.Context, instances []observer.Instance, formerID string, term uint64) (*Witness, []Witness) {
+	var others []observer.Instance
+	for _, i := range instances {
+		if i.ID != formerID {
+			others = append(others, i)
+		}
+	}
+	former, ok := find(instances, formerID)
+	var stepped []Witness
+	done := make(chan struct{})
+	s.group.Go(func() error {
+		defer close(done)
+		if ok {
+			stepped = s.survey(ctx, []observer.Instance{former}, phraser.Statement{Kind: phraser.StepDown, Term: term})
+		}
+		return nil
+	})
+	replicas := s.survey(ctx, others, phraser.Statement{Kind: phraser.Pause, Term: term})
+	<-done
+	if len(stepped) == 0 {
+		return nil, replicas
+	}
+	return &stepped[0], replicas
+}
+
+// release lets the replicas receive again.
+func (s *Switcher) release(ctx context.Context, replicas []Witness) {
+	var list []observer.Instance
+	for _, w := range replicas {
+		if w.Status != nil {
+			list = append(list, w.Instance)
+		}
+	}
+	s.survey(ctx, list, phraser.Statement{Kind: phraser.Resume})
+}
+
+// promote lets an instance lead and waits until it does.
+func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, next observer.Instance, term uint64) error {
+	until := s.Clock.Now().Add(promotedWithin)
+	named := false
+	for s.Clock.Now().Before(until) && ctx.Err() == nil {
+		if !named {
+			if !grant.Valid(s.Clock.Now()) {
+				return errExpired
+			}
+			err := s.Promoter.Promote(ctx, grant, next.Group, next.ID)
+			named = err == nil
+			s.Journal.Belief("promotion-sent", dispatcher.Field{Name: "group", Value: next.Group}, dispatcher.Field{Name: "instance", Value: next.ID},
+				dispatcher.Field{Name: "term", Value: term}, dispatcher.Field{Name: "token", Value: grant.Token}, dispatcher.Field{Name: "accepted", Value: named})
+		}
+		asked := s.Clock.Now()
+		if st, err := s.Controller.Control(ctx, next, phraser.Statement{Kind: phraser.Status}); err == nil && st.Leads {
+			if s.Observer.ObserveStatus(asked, next, st) {
+				s.announce(next, st)
+			}
+			return nil
+		}
+		time.Sleep(promotedPoll)
+	}
+	return errUnproved
+}
+
+// resume mends what unfinished replacements left behind.
+func (s *Switcher) resume(ctx context.Context) {
+	s.mu.Lock()
+	stale := s.stale
+	s.stale = nil
+	s.mu.Unlock()
+	for _, d := range stale {
+		s.survey(ctx, []observer.Instance{d.instance}, phraser.Statement{Kind: phraser.StepDown, Term: d.term})
+	}
+	now := s.Clock.Now()
+	for _, group := range s.Observer.Groups() {
+		if _, _, ok := s.Observer.Primary(group); !ok {
+			continue
+		}
+		for _, i := range s.Observer.Instances(group) {
+			since, ok := s.paused[i.ID]
+			if !ok || now.Sub(since) < pausedFor {
+				continue
+			}
+			// Only the holder of the duty knows that no replacement is under way.
+			if _, err := s.Lease.Acquire(ctx, nil); err != nil {
+				return
+			}
+			s.survey(ctx, []observer.Instance{i}, phraser.Statement{Kind: phraser.Resume})
+			delete(s.paused, i.ID)
+		}
+	}
+}
--- /dev/null
+++ b/switcher/switcher.go
@@ -0,0 +1,143 @@
+// Package switcher replaces primaries that are leaving or lost.
+//
+// One VM at a time does so, under a lease with a fencing token. It stops the
+// replicas first, so that the former primary can acknowledge nothing more, and
+// only then lets the one with the longest log lead.
+package switcher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/placer"
+)
+
+const (
+	// tick is how often the groups are looked at.
+	tick = 100 * time.Millisecond
+	// inspectEvery is how often the first VM asks all instances what they are.
+	inspectEvery = time.Second
+	// retryAfter is the pause after a replacement that failed.
+	retryAfter = 400 * time.Millisecond
+	// duty names the duty for the ranking of the VMs.
+	duty = "replace-primaries"
+)
+
+// Switcher replaces primaries.
+type Switcher struct {
+	Parts
+
+	leaderless map[string]time.Time
+	paused     map[string]time.Time
+	retry      map[string]time.Time
+	inspected  time.Time
+	group      errgroup.Group
+
+	mu    sync.Mutex
+	stale []deposed
+}
+
+// New returns a Switcher.
+func New(p Parts) *Switcher {
+	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}}
+}
+
+// Run looks after the groups until ctx ends.
+func (s *Switcher) Run(ctx context.Context) error {
+	if err := s.Lease.Look(ctx); err != nil {
+		s.Journal.Belief("duty-unknown", dispatcher.Field{Name: "error", Value: err.Error()})
+	}
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.look(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// look looks at each group once.
+func (s *Switcher) look(ctx context.Context) {
+	now := s.Clock.Now()
+	peers := s.Fleet.Alive(now)
+	rank := s.rank(now, peers)
+	if rank < 0 {
+		return
+	}
+	if rank == 0 && now.Sub(s.inspected) >= inspectEvery {
+		s.inspected = now
+		s.inspect(ctx)
+	}
+	for _, group := range s.Observer.Groups() {
+		now = s.Clock.Now()
+		if now.Before(s.retry[group]) {
+			continue
+		}
+		verdict := Decide(now, s.view(now, group, peers, rank))
+		if verdict == Keep {
+			continue
+		}
+		if err := s.replace(ctx, group, verdict); err != nil {
+			s.Journal.Belief("replacement-failed", dispatcher.Field{Name: "group", Value: group},
+				dispatcher.Field{Name: "verdict", Value: verdict}, dispatcher.Field{Name: "error", Value: err.Error()})
+			s.retry[group] = s.Clock.Now().Add(retryAfter)
+		}
+	}
+}
+
+// rank returns this VM's place among those that may replace primaries, or -1.
+func (s *Switcher) rank(now time.Time, peers []gossiper.Peer) int {
+	if !s.Fit(now) {
+		return -1
+	}
+	names := []string{s.Name}
+	for _, p := range peers {
+		if !p.Leaving && !p.StoreUnreachable {
+			names = append(names, p.Name)
+		}
+	}
+	return slices.Index(placer.Rank(duty, names), s.Name)
+}
+
+// view returns what is known of a group.
+func (s *Switcher) view(now time.Time, group string, peers []gossiper.Peer, rank int) View {
+	primary, term, known := s.Observer.Primary(group)
+	v := View{Instances: s.Observer.Instances(group), Primary: primary, Known: known, Unserved: s.Observer.Unreached(group), Rank: rank}
+	if known {
+		delete(s.leaderless, group)
+	} else if _, ok := s.leaderless[group]; !ok {
+		s.leaderless[group] = now
+	}
+	v.Leaderless = s.leaderless[group]
+	for _, p := range peers {
+		for _, g := range p.Groups {
+			switch {
+			case g.Group != group || g.Term != term:
+			case g.Unreached:
+				v.LostVotes++
+			case g.Reached:
+				v.ServedVotes++
+			}
+		}
+	}
+	return v
+}
+
+// find returns the instance with an id.
+func find(list []observer.Instance, id string) (observer.Instance, bool) {
+	n := slices.IndexFunc(list, func(i observer.Instance) bool { return i.ID == id })
+	if n < 0 {
+		return observer.Instance{}, false
+	}
+	return list[n], true
+}
