fix: a session's own commits count from the first of a new term

Cause: after a promotion the oldest watermark may still be a position of the former term (1.86, sampled as the new primary took over); a session's position of the new term was then dropped because the terms differed. Ruled out: the confirmation of the primary (the read went to the stepped-down one as a replica, with a position to wait for). Change: a session's position counts unless its term is older than the primary's.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -243,10 +243,21 @@
 	} else if d.Observer.Confirmed(u.Route.Group).Before(now.Add(-u.Route.Staleness / 2)) {
 		d.Ask(u.Route.Group)
 	}
-	if u.Route.Kind == cataloguer.ReadYourWrites && u.Session.Term == p.Term {
-		p = p.Max(u.Session)
+	_, term, _ := d.Observer.Primary(u.Route.Group)
+	return require(u, p, term), ""
+}
+
+// require returns the position that a read needs, given a watermark of the
+// primary of a term.
+//
+// The watermark covers all that has survived of earlier terms. A position of an
+// earlier term beyond it was rolled back by the promotion, and no log will ever
+// hold it again.
+func require(u Unit, watermark tracker.Position, term uint64) tracker.Position {
+	if u.Route.Kind == cataloguer.ReadYourWrites && u.Session.Term >= term {
+		return watermark.Max(u.Session)
 	}
-	return p, ""
+	return watermark
 }
 
 // stalenessMargin is left of a route's staleness for the way to the instance.
