fix: a fleet that restarts at once leaves the others their share of a rate

Cause: a process that has just started knew no other VM and took the whole rate; after herd_kill nine of them did. Change: VMs of the register that were not heard yet keep an even share for 5 s; before anything is known 31 others are assumed. Test: TestRateHoldsWhenAllRestart.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -155,7 +156,7 @@
 		page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
 		pause := relistEvery
 		if err == nil {
-			p.Gossiper.Seed(p.addresses(page))
+			p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
 		} else {
 			pause = registerRetry
 		}
@@ -192,9 +193,9 @@
 	return err == nil
 }
 
-// addresses returns where the other VMs of the register take messages.
-func (p *Proxy) addresses(page keeper.Page) []netip.AddrPort {
-	var out []netip.AddrPort
+// addresses returns where the other VMs of the register take messages, by name.
+func (p *Proxy) addresses(page keeper.Page) map[string]netip.AddrPort {
+	out := map[string]netip.AddrPort{}
 	for _, o := range page.Objects {
 		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil || !r.Peers.IsValid() {
@@ -202,7 +203,7 @@
 			continue
 		}
 		if r.Peers != p.Parts.Settings.Listen.Peers {
-			out = append(out, r.Peers)
+			out[strings.TrimPrefix(o.Key, vmsPrefix)] = r.Peers
 		}
 	}
 	return out
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -63,6 +63,7 @@
 	return m
 }
 
+
 // unreachedAfter is the time without an answer after which other VMs are told
 // that a primary cannot be reached.
 const unreachedAfter = 300 * time.Millisecond
@@ -81,7 +82,11 @@
 		}
 		peers = append(peers, sharer.Peer{Name: p.Name, Demand: demand})
 	}
-	n.Sharer.SetPeers(now, peers)
+	silent, ok := n.gossiper.Expected(now)
+	if !ok {
+		silent = sharer.AssumedSilent
+	}
+	n.Sharer.SetPeers(now, peers, silent)
 	if c := n.Catalogue.Current(); c != nil {
 		n.Dispatcher.SetShape(c.Groups, len(n.gossiper.Alive(now))+1)
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 	aliveFor = 4 * interval
 	// goneAfter is the time without a message after which a VM is forgotten.
 	goneAfter = 20 * time.Second
+	// expectFor is how long a VM that was never heard is counted: a killed
+	// process is back within it.
+	expectFor = 5 * time.Second
 	// maxMessage is the largest datagram that is read.
 	maxMessage = 64 << 10
 )
@@ -43,7 +46,8 @@
 	mu       sync.Mutex
 	self     Message
 	peers    map[string]*Peer
-	seeds    []netip.AddrPort
+	seeds    map[string]seed
+	seeded   bool
 	sequence uint64
 	urgent   chan struct{}
 }
@@ -54,11 +58,38 @@
 	return &Gossiper{transport: t, clock: c, compose: compose, heard: heard, peers: map[string]*Peer{}, urgent: make(chan struct{}, 1)}
 }
 
-// Seed names addresses of VMs that may not have been heard yet.
-func (g *Gossiper) Seed(addresses []netip.AddrPort) {
+// seed is a VM that may not have been heard yet.
+type seed struct {
+	address netip.AddrPort
+	since   time.Time
+}
+
+// Seed names the VMs of the fleet with their addresses.
+func (g *Gossiper) Seed(now time.Time, vms map[string]netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seeds := make(map[string]seed, len(vms))
+	for name, a := range vms {
+		since := now
+		if have, ok := g.seeds[name]; ok && have.address == a {
+			since = have.since
+		}
+		seeds[name] = seed{address: a, since: since}
+	}
+	g.seeds, g.seeded = seeds, true
+}
+
+// Expected returns the number of VMs that belong to the fleet and may yet be
+// heard; ok is false while the fleet is not known at all.
+func (g *Gossiper) Expected(now time.Time) (n int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.seeds = addresses
+	for name, s := range g.seeds {
+		if g.peers[name] == nil && now.Sub(s.since) < expectFor {
+			n++
+		}
+	}
+	return n, g.seeded || len(g.peers) > 0
 }
 
 // Alive returns the other VMs that were heard a moment ago, in ascending order of name.
@@ -123,8 +154,8 @@
 	m.Sequence = g.sequence
 	g.self = m
 	targets := map[netip.AddrPort]bool{}
-	for _, a := range g.seeds {
-		targets[a] = true
+	for _, s := range g.seeds {
+		targets[s.address] = true
 	}
 	for name, p := range g.peers {
 		if now.Sub(p.Heard) > goneAfter {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -24,6 +24,8 @@
 	// firstTokens is the part of its burst that a process starts with: others
 	// may have spent the burst just before.
 	firstTokens = 0.1
+	// AssumedSilent is the number of other VMs assumed before anything is known.
+	AssumedSilent = 31
 	// longestWait is how long an operation waits for its token.
 	longestWait = 60 * time.Millisecond
 )
@@ -34,6 +36,7 @@
 	accounts map[string]*account
 	told     map[string]float64
 	peers    []Peer
+	silent   int
 }
 
 // account is the state of one organisation.
@@ -48,7 +51,7 @@
 
 // New returns a Sharer without organisations.
 func New() *Sharer {
-	return &Sharer{accounts: map[string]*account{}, told: map[string]float64{}}
+	return &Sharer{accounts: map[string]*account{}, told: map[string]float64{}, silent: AssumedSilent}
 }
 
 // SetLimits takes the rates of all organisations.
@@ -71,25 +74,27 @@
 	s.divide(now)
 }
 
-// SetPeers takes what the other VMs tell, and divides the rates anew.
-func (s *Sharer) SetPeers(now time.Time, peers []Peer) {
+// SetPeers takes what the other VMs tell, and divides the rates anew. An even
+// share is left to each of the silent VMs, which may be spending it.
+func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = peers
+	s.peers, s.silent = peers, silent
 	s.divide(now)
 }
 
 // divide works out this VM's share of each rate. The lock is held.
 func (s *Sharer) divide(now time.Time) {
+	heard := float64(len(s.peers) + 1)
+	part := heard / (heard + float64(s.silent))
 	for name, a := range s.accounts {
 		total := s.told[name]
 		for _, p := range s.peers {
 			total += p.Demand[name]
 		}
-		even := 1 / float64(len(s.peers)+1)
-		a.share = even
+		a.share = part / heard
 		if total > 0 {
-			a.share = evenPart*even + (1-evenPart)*s.told[name]/total
+			a.share = part * (evenPart/heard + (1-evenPart)*s.told[name]/total)
 		}
 		limit := a.whole.Scale(a.share)
 		limit.Burst = max(limit.Burst, 1)
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,178 @@
+package sharer_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/limiter"
+	"github.com/marigoldgauge/marigoldgauge/sharer"
+)
+
+// start is the time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a set of VMs that tell each other their demand every half second.
+type fleet struct {
+	now    time.Time
+	vms    []*sharer.Sharer
+	told   []map[string]float64
+	heard  []bool
+	silent int
+	limit  limiter.Limit
+}
+
+const (
+	organisation = "o"
+	step         = 10 * time.Millisecond
+	tellEvery    = 50 // steps
+)
+
+func newFleet(n int, limit limiter.Limit) *fleet {
+	f := &fleet{now: start, vms: make([]*sharer.Sharer, n), told: make([]map[string]float64, n), heard: make([]bool, n), limit: limit}
+	for i := range n {
+		f.restart(i)
+		f.heard[i] = true
+	}
+	return f
+}
+
+// restart starts a process of a VM anew.
+func (f *fleet) restart(i int) {
+	f.vms[i] = sharer.New()
+	f.vms[i].SetLimits(f.now, map[string]limiter.Limit{organisation: f.limit})
+	f.told[i] = map[string]float64{}
+}
+
+// run lets steps pass in which each VM is asked for demand(i) operations a
+// second, and returns how many were admitted in each step.
+func (f *fleet) run(steps int, random *rand.Rand, demand func(i int) float64) []int {
+	out := make([]int, steps)
+	for n := range steps {
+		f.now = f.now.Add(step)
+		if n%tellEvery == 0 {
+			f.tell()
+		}
+		for i, vm := range f.vms {
+			if random.Float64() >= demand(i)*step.Seconds() {
+				continue
+			}
+			if _, ok := vm.Admit(f.now, organisation); ok {
+				out[n]++
+			}
+		}
+	}
+	return out
+}
+
+// tell exchanges the demand.
+func (f *fleet) tell() {
+	for i, vm := range f.vms {
+		f.told[i] = vm.Tell(f.now)
+	}
+	for i, vm := range f.vms {
+		var peers []sharer.Peer
+		silent := 0
+		for j, told := range f.told {
+			switch {
+			case i == j:
+			case f.heard[j]:
+				peers = append(peers, sharer.Peer{Demand: told})
+			default:
+				silent++
+			}
+		}
+		vm.SetPeers(f.now, peers, silent)
+	}
+}
+
+// worst returns the most that was admitted within any window.
+func worst(admitted []int, window time.Duration) int {
+	width := int(window / step)
+	sum, most := 0, 0
+	for n, a := range admitted {
+		sum += a
+		if n >= width {
+			sum -= admitted[n-width]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Invariant: no organisation gets more than its rate and burst over all VMs
+// together, whatever it asks for and where.
+func TestRateHoldsOverTheFleet(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand func(i int) float64
+	}{
+		{"five times the rate, evenly", func(int) float64 { return 60 }},
+		{"all at one VM", func(i int) float64 {
+			if i == 0 {
+				return 90
+			}
+			return 0
+		}},
+		{"skewed", func(i int) float64 { return float64(10 * (i + 1)) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(8, limiter.Limit{Rate: 80, Burst: 80})
+			admitted := f.run(2000, rand.New(rand.NewPCG(1, 2)), tt.demand)
+			g.Expect(worst(admitted, 5*time.Second)).To(BeNumerically("<=", int(math.Ceil((80*5+80)*1.1+20))))
+			total := 0
+			for _, a := range admitted[1000:] {
+				total += a
+			}
+			g.Expect(total).To(BeNumerically(">=", 80*10*8/10), "four fifths of the rate are usable")
+		})
+	}
+}
+
+// A fleet that restarts at once knows nobody; no VM may take the whole rate for itself.
+func TestRateHoldsWhenAllRestart(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(9, limiter.Limit{Rate: 196, Burst: 196})
+	random := rand.New(rand.NewPCG(3, 4))
+	demand := func(int) float64 { return 90 }
+	admitted := f.run(1000, random, demand)
+	for i := range f.vms {
+		f.restart(i)
+		f.heard[i] = false
+	}
+	admitted = append(admitted, f.run(30, random, demand)...)
+	for i := range f.vms {
+		f.heard[i] = true
+	}
+	admitted = append(admitted, f.run(700, random, demand)...)
+	g.Expect(worst(admitted, 5*time.Second)).To(BeNumerically("<=", (196*5+196)*11/10+20))
+}
+
+func TestNothingBelowTheRateIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(8, limiter.Limit{Rate: 80, Burst: 80})
+	random := rand.New(rand.NewPCG(5, 6))
+	f.run(500, random, func(int) float64 { return 5 })
+	asked, refused := 0, 0
+	for n := range 1500 {
+		f.now = f.now.Add(step)
+		if n%tellEvery == 0 {
+			f.tell()
+		}
+		for _, vm := range f.vms {
+			if random.Float64() >= 6*step.Seconds() {
+				continue
+			}
+			asked++
+			if _, ok := vm.Admit(f.now, organisation); !ok {
+				refused++
+			}
+		}
+	}
+	g.Expect(float64(refused)).To(BeNumerically("<=", 0.03*float64(asked)))
+}
