perf: VMs vouch for primaries by the fleet's record instead of asking replicas

Ruled out: a lease among VMs by majority (agreement belongs to the store). Change: who replaces a primary first writes the superseded term into the store; one VM reads it every 400 ms, the others ask it how old its knowledge is; for 2 s after that a primary is taken for the present one. A successor takes writes once all VMs have taken note or the lease has passed. Without the store the replicas are asked as before.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/sharer"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
+	"github.com/marigoldgauge/marigoldgauge/voucher"
 )
 
 // constructors build the parts of a process, in the order in which they need each other.
@@ -29,6 +30,7 @@
 	newSessions,
 	newLeaser,
 	newGossiper,
+	newVoucher,
 	newSwitcher,
 }
 
@@ -85,7 +87,9 @@
 
 // newSessions returns a server without callers.
 func newSessions(p Parts, c *cataloguer.Holder, d *dispatcher.Dispatcher, j *journaler.Journaler) *sessioner.Server {
-	return &sessioner.Server{Catalogue: c, Runner: d, Clock: p.Clock, Journal: j, Grace: p.Settings.Grace}
+	s := &sessioner.Server{Catalogue: c, Runner: d, Clock: p.Clock, Journal: j}
+	s.SetGrace(p.Settings.Grace)
+	return s
 }
 
 // leaseKey is where the duty of replacing primaries lies in the store.
@@ -104,12 +108,19 @@
 	return g
 }
 
+// newVoucher returns the voucher of this VM.
+func newVoucher(p Parts, o *observer.Observer, l *leaser.Leaser, g *gossiper.Gossiper, s *state) *voucher.Voucher {
+	v := voucher.New(voucher.Parts{Name: p.Settings.VM.ID, Incarnation: s.incarnation, Observer: o, Record: l, Fleet: g, Clock: p.Clock, Lease: observer.ViewLease})
+	g.Handle(v.Answer, v.Hear)
+	return v
+}
+
 // newSwitcher returns the switcher of this VM.
-func newSwitcher(p Parts, o *observer.Observer, d *dispatcher.Dispatcher, g *gossiper.Gossiper, l *leaser.Leaser,
+func newSwitcher(p Parts, o *observer.Observer, d *dispatcher.Dispatcher, g *gossiper.Gossiper, l *leaser.Leaser, v *voucher.Voucher,
 	sessions *sessioner.Server, j *journaler.Journaler, st *state) *switcher.Switcher {
 	started := p.Clock.Now()
 	return switcher.New(switcher.Parts{
-		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
+		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Announcer: v, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
 		Fit: func(now time.Time) bool {
 			return !sessions.Leaving() && !st.storeLost.Load() && now.Sub(started) >= settleFor
 		},
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -57,13 +57,12 @@
 		if ok {
 			lost := !unreached.IsZero() && now.Sub(unreached) > unreachedAfter
 			m.Groups = append(m.Groups, gossiper.GroupNews{Group: group, Primary: primary, Term: term,
-				Unreached: lost, Reached: !lost && now.Sub(n.Observer.PrimaryAnswered(group)) < reachedFor})
+				Opened: n.Observer.Opened(now, group), Unreached: lost, Reached: !lost && now.Sub(n.Observer.PrimaryAnswered(group)) < reachedFor})
 		}
 	}
 	return m
 }
 
-
 // unreachedAfter is the time without an answer after which other VMs are told
 // that a primary cannot be reached.
 const unreachedAfter = 300 * time.Millisecond
@@ -93,11 +92,14 @@
 }
 
 // hear takes another VM's message.
-func (n *news) hear(_ time.Time, m gossiper.Message) {
+func (n *news) hear(now time.Time, m gossiper.Message) {
 	for _, g := range m.Groups {
-		if n.Observer.Lead(g.Group, g.Primary, g.Term) {
+		if n.Observer.Lead(now, g.Group, g.Primary, g.Term) {
 			n.Journal.Belief("primary-changed", dispatcher.Field{Name: "group", Value: g.Group}, dispatcher.Field{Name: "primary", Value: g.Primary},
 				dispatcher.Field{Name: "term", Value: g.Term}, dispatcher.Field{Name: "source", Value: m.Name})
 		}
+		if g.Opened {
+			n.Observer.Open(g.Group, g.Term)
+		}
 	}
 }
--- a/assembler/parts.go
+++ b/assembler/parts.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/apex/log"
 
@@ -16,8 +18,6 @@
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
-
-	"time"
 )
 
 // Store is the platform's store.
@@ -69,5 +69,9 @@
 	// Clock tells the present time, suspended time included.
 	Clock clocker.Clock
 	// Log takes the lines of the process.
-	Log log.Interface
+	Log *log.Logger
+	// Load reads the settings anew.
+	Load func() (loader.Hosted, error)
+	// Hangups tells that the settings may have changed.
+	Hangups <-chan os.Signal
 }
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/sharer"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
+	"github.com/marigoldgauge/marigoldgauge/voucher"
 )
 
 // Proxy is one process.
@@ -38,6 +39,7 @@
 	Sessions   *sessioner.Server
 	Gossiper   *gossiper.Gossiper
 	Leaser     *leaser.Leaser
+	Voucher    *voucher.Voucher
 	Switcher   *switcher.Switcher
 	State      *state
 }
@@ -102,8 +104,10 @@
 		p.followInstances,
 		p.register,
 		p.Gossiper.Run,
+		p.Voucher.Run,
 		p.Switcher.Run,
 		p.housekeep,
+		p.reload,
 		func(ctx context.Context) error {
 			return serve(ctx, s.Listen.Ready.String(), p.Parts.Adapter.Ready(p.ready))
 		},
--- /dev/null
+++ b/assembler/reloading.go
@@ -0,0 +1,48 @@
+package assembler
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/loader"
+)
+
+// reloadEvery is how often the settings are read anew without a signal.
+const reloadEvery = 2 * time.Second
+
+// reload takes changed settings, upon a signal and without one.
+func (p *Proxy) reload(ctx context.Context) error {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	current := p.Parts.Settings
+	for {
+		signalled := false
+		select {
+		case <-p.Parts.Hangups:
+			signalled = true
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		next, err := p.Parts.Load()
+		switch {
+		case err != nil:
+			p.Journal.Belief("settings-refused", dispatcher.Field{Name: "error", Value: err.Error()}, dispatcher.Field{Name: "signalled", Value: signalled})
+		case !reflect.DeepEqual(next, current):
+			p.apply(current, next, signalled)
+			current = next
+		case signalled:
+			p.Journal.Belief("settings-reloaded", dispatcher.Field{Name: "signalled", Value: true}, dispatcher.Field{Name: "changed", Value: false})
+		}
+	}
+}
+
+// apply puts settings in force that can change while the process runs.
+func (p *Proxy) apply(old, next loader.Hosted, signalled bool) {
+	p.Sessions.SetGrace(next.Grace)
+	fixed := !reflect.DeepEqual(old.VM, next.VM) || old.Listen != next.Listen || old.Platform != next.Platform || old.Log != next.Log
+	p.Journal.Belief("settings-reloaded", dispatcher.Field{Name: "signalled", Value: signalled}, dispatcher.Field{Name: "changed", Value: true},
+		dispatcher.Field{Name: "needs-restart", Value: fixed})
+}
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -52,6 +52,13 @@
 	d.ask(group)
 }
 
+// askUnknown asks a group unless its primary is known.
+func (d *Dispatcher) askUnknown(group string) {
+	if _, _, ok := d.Observer.Primary(group); !ok {
+		d.ask(group)
+	}
+}
+
 // ask starts a round unless one is under way.
 func (d *Dispatcher) ask(group string) *round {
 	d.mu.Lock()
@@ -99,10 +106,12 @@
 			return nil
 		})
 	}
-	g.Go(func() error {
-		d.questionReplica(ctx, group, primary)
-		return nil
-	})
+	if d.Observer.Confirmed(group).Before(d.Clock.Now()) {
+		g.Go(func() error {
+			d.questionReplica(ctx, group, primary)
+			return nil
+		})
+	}
 	_ = g.Wait()
 }
 
@@ -134,7 +143,7 @@
 	if err != nil {
 		return
 	}
-	d.Observer.ObserveStatus(asked, i, st)
+	d.Observer.ObserveStatus(d.Clock.Now(), asked, i, st)
 }
 
 // Control runs a statement of the product on an instance and returns its status.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -212,7 +212,9 @@
 			after, why = d.requirement(ctx, now, u)
 			need.After = after
 		}
-		if need.Lead || why == "" {
+		if u.Writes && !d.Observer.Opened(now, u.Route.Group) {
+			why = "the primary is not open for writes yet"
+		} else if need.Lead || why == "" {
 			if i, ok := d.Observer.Choose(now, need); ok {
 				return i, after, ""
 			}
@@ -222,7 +224,7 @@
 		}
 		if need.Lead {
 			tried = nil
-			d.Ask(u.Route.Group)
+			d.askUnknown(u.Route.Group)
 		}
 		if !pause(ctx, pollEvery) {
 			return i, after, why
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -43,6 +43,9 @@
 	compose   func(now time.Time) Message
 	heard     func(now time.Time, m Message)
 
+	answer     func(now time.Time, question []byte) []byte
+	hearAnswer func(now time.Time, answer []byte)
+
 	mu       sync.Mutex
 	self     Message
 	peers    map[string]*Peer
@@ -102,6 +105,20 @@
 	return g.filter(func(p *Peer) bool { return now.Sub(p.Heard) < goneAfter })
 }
 
+// Members returns all VMs that belong to the fleet or were heard of late, also
+// those that are silent.
+func (g *Gossiper) Members(now time.Time) []Peer {
+	out := g.Known(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, s := range g.seeds {
+		if g.peers[name] == nil {
+			out = append(out, Peer{Message: Message{Name: name, Address: s.address}})
+		}
+	}
+	return out
+}
+
 // filter returns the peers that pass a test.
 func (g *Gossiper) filter(keep func(p *Peer) bool) []Peer {
 	g.mu.Lock()
@@ -171,27 +188,65 @@
 	}
 	for a := range targets {
 		if a != m.Address {
-			// A datagram that cannot be sent is as good as lost; silence tells.
-			_ = g.transport.Send(a, b)
+			g.send(a, frameNews, b)
 		}
 	}
 }
 
+// The first byte of a datagram tells what follows.
+const (
+	frameNews byte = iota
+	frameQuestion
+	frameAnswer
+)
+
+// send sends one datagram. One that cannot be sent is as good as lost; silence tells.
+func (g *Gossiper) send(to netip.AddrPort, frame byte, b []byte) {
+	_ = g.transport.Send(to, append([]byte{frame}, b...))
+}
+
+// Handle lets answer reply to the questions of other VMs, and hear take the
+// answers to this VM's. It is called before Run.
+func (g *Gossiper) Handle(answer func(now time.Time, question []byte) []byte, hear func(now time.Time, answer []byte)) {
+	g.answer, g.hearAnswer = answer, hear
+}
+
+// Ask sends a question to a VM; the answer may never come.
+func (g *Gossiper) Ask(to netip.AddrPort, question []byte) {
+	g.send(to, frameQuestion, question)
+}
+
 // receive takes the messages of the others until ctx ends.
 func (g *Gossiper) receive(ctx context.Context) error {
 	b := make([]byte, maxMessage)
 	for {
-		n, err := g.transport.Receive(b)
+		n, from, err := g.transport.Receive(b)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			continue
 		}
+		if n > 0 {
+			g.dispatch(from, b[0], b[1:n])
+		}
+	}
+}
+
+// dispatch takes one datagram; one that is not understood is passed over.
+func (g *Gossiper) dispatch(from netip.AddrPort, frame byte, b []byte) {
+	switch frame {
+	case frameNews:
 		var m Message
-		if cbor.Unmarshal(b[:n], &m) == nil {
+		if cbor.Unmarshal(b, &m) == nil {
 			g.take(m)
 		}
+	case frameQuestion:
+		if a := g.answer(g.clock.Now(), b); a != nil {
+			g.send(from, frameAnswer, a)
+		}
+	case frameAnswer:
+		g.hearAnswer(g.clock.Now(), b)
 	}
 }
 
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -36,4 +36,6 @@
 	Unreached bool `cbor:"4,keyasint,omitempty"`
 	// Reached reports that the primary answered the VM a moment ago.
 	Reached bool `cbor:"5,keyasint,omitempty"`
+	// Opened reports that the primary may take writes.
+	Opened bool `cbor:"6,keyasint,omitempty"`
 }
--- a/gossiper/udp.go
+++ b/gossiper/udp.go
@@ -27,8 +27,7 @@
 	return err
 }
 
-// Receive waits for a datagram and returns its length.
-func (u *UDP) Receive(b []byte) (int, error) {
-	n, _, err := u.ReadFromUDPAddrPort(b)
-	return n, err
+// Receive waits for a datagram and returns its length and where it came from.
+func (u *UDP) Receive(b []byte) (int, netip.AddrPort, error) {
+	return u.ReadFromUDPAddrPort(b)
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -55,20 +55,21 @@
 func (l *Leaser) Known() Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.record
+	return l.record.clone()
 }
 
-// Look reads the lease, so that its age is known when it is needed.
-func (l *Leaser) Look(ctx context.Context) error {
+// Look reads the lease, so that its age is known when it is needed, and returns
+// it with the time as of which it was so.
+func (l *Leaser) Look(ctx context.Context) (Record, time.Time, error) {
 	asked := l.clock.Now()
 	o, err := l.store.Get(ctx, l.key)
-	if errors.Is(err, keeper.ErrNotFound) {
-		return l.see(asked, keeper.Object{})
+	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
+		return Record{}, asked, err
 	}
-	if err != nil {
-		return err
+	if err := l.see(asked, o); err != nil {
+		return Record{}, asked, err
 	}
-	return l.see(asked, o)
+	return l.Known(), asked, nil
 }
 
 // see takes the lease as it was read; without a version there is none.
@@ -88,12 +89,12 @@
 	return nil
 }
 
-// Acquire takes or renews the duty and notes the terms that the holder is about to begin.
-func (l *Leaser) Acquire(ctx context.Context, intents map[string]uint64) (Grant, error) {
-	if err := l.Look(ctx); err != nil {
+// Acquire takes or renews the duty; change, if any, edits what is written with it.
+func (l *Leaser) Acquire(ctx context.Context, change func(r *Record)) (Grant, error) {
+	if _, _, err := l.Look(ctx); err != nil {
 		return Grant{}, err
 	}
-	next, cond, err := l.next(intents)
+	next, cond, err := l.next(change)
 	if err != nil {
 		return Grant{}, err
 	}
@@ -110,30 +111,27 @@
 }
 
 // next returns the lease to write, or ErrHeld.
-func (l *Leaser) next(intents map[string]uint64) (Record, keeper.Condition, error) {
+func (l *Leaser) next(change func(r *Record)) (Record, keeper.Condition, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mine := l.record.Holder == l.holder && l.record.Incarnation == l.incarnation
-	own := l.record.Holder == l.holder
-	if l.version != "" && !own && l.clock.Now().Sub(l.since) < l.lease {
+	if l.version != "" && l.record.Holder != l.holder && l.clock.Now().Sub(l.since) < l.lease {
 		return Record{}, keeper.Condition{}, ErrHeld
 	}
-	next := Record{Holder: l.holder, Incarnation: l.incarnation, Token: l.record.Token, Turn: l.record.Turn + 1, Intents: map[string]uint64{}}
-	if !mine {
+	next := l.record.clone()
+	if next.Holder != l.holder || next.Incarnation != l.incarnation {
+		next.Holder, next.Incarnation = l.holder, l.incarnation
 		next.Token++
 	}
-	for group, term := range l.record.Intents {
-		next.Intents[group] = term
-	}
-	for group, term := range intents {
-		next.Intents[group] = max(term, next.Intents[group])
+	next.Turn++
+	if change != nil {
+		change(&next)
 	}
 	return next, keeper.Condition{Absent: l.version == "", Version: l.version}, nil
 }
 
 // recover finds out whether a write without an answer took effect.
 func (l *Leaser) recover(ctx context.Context, asked time.Time, wrote Record, cause error) (Grant, error) {
-	if err := l.Look(ctx); err != nil {
+	if _, _, err := l.Look(ctx); err != nil {
 		return Grant{}, eris.Wrapf(cause, "the outcome is unknown (%s)", err)
 	}
 	l.mu.Lock()
--- a/loader/hosted.go
+++ b/loader/hosted.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/goccy/go-yaml"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
@@ -38,7 +39,7 @@
 	Address netip.Addr `yaml:"address"`
 	// AvailabilityZone is where the VM runs.
 	AvailabilityZone string `yaml:"availability-zone"`
-	// Connections is the number of file descriptors that the process may use.
+	// Descriptors is the number of file descriptors that the process may use.
 	Descriptors int `yaml:"descriptors"`
 }
 
@@ -108,6 +109,8 @@
 	demand(h.Listen.Operators.IsValid(), "listen.operators is missing")
 	demand(h.Platform.Store.IsValid(), "platform.store is missing")
 	demand(h.Platform.Duties.IsValid(), "platform.duties is missing")
+	_, err := log.ParseLevel(h.Log.Level)
+	demand(err == nil, "log.level must be debug, info, warn or error")
 	demand(h.Grace >= time.Second, "grace must be a second or more")
 	demand(h.Lease >= time.Second, "lease must be a second or more")
 	return faults
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -321,7 +321,7 @@
 
 // ObserveStatus takes what an instance said when it was asked at a time, and
 // reports whether the primary of its group changed.
-func (o *Observer) ObserveStatus(asked time.Time, i Instance, st phraser.InstanceStatus) bool {
+func (o *Observer) ObserveStatus(now, asked time.Time, i Instance, st phraser.InstanceStatus) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
@@ -330,7 +330,7 @@
 	}
 	switch {
 	case st.Leads && st.Term > g.term:
-		g.take(i.ID, st.Term)
+		g.take(now, i.ID, st.Term)
 		g.addSample(asked, st.Received)
 		return true
 	case st.Leads && st.Term == g.term && i.ID == g.primary:
@@ -348,17 +348,75 @@
 }
 
 // Lead takes another VM's word that an instance leads a term, and reports whether that was news.
-func (o *Observer) Lead(group, id string, term uint64) bool {
+func (o *Observer) Lead(now time.Time, group, id string, term uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(group)
 	if term <= g.term {
 		return false
 	}
-	g.take(id, term)
+	g.take(now, id, term)
 	return true
 }
 
+// Vouch takes the word of the fleet's record as of a time: which term of a group
+// is superseded, and which is open for writes. It extends the confirmation of
+// the primary until a time.
+func (o *Observer) Vouch(now, asOf, until time.Time, group string, superseded, opened uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := o.group(group)
+	if g.term <= superseded {
+		if g.confirmed.After(now) {
+			g.confirmed = now
+		}
+		return
+	}
+	if !g.deposed && !asOf.Before(g.taken) && until.After(g.confirmed) {
+		g.confirmed = until
+	}
+	if opened >= g.term || (superseded == 0 && !asOf.Before(g.taken)) {
+		g.opened = true
+	}
+}
+
+// Revoke ends what was vouched for the primary of a superseded term.
+func (o *Observer) Revoke(now time.Time, group string, superseded uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if g := o.group(group); g.term <= superseded && g.confirmed.After(now) {
+		g.confirmed = now
+	}
+}
+
+// Open notes that the primary of a term may take writes.
+func (o *Observer) Open(group string, term uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if g := o.group(group); g.term == term {
+		g.opened = true
+	}
+}
+
+// Opened reports whether the primary of a group may take writes: no VM can take
+// an earlier one for the present one any more.
+func (o *Observer) Opened(now time.Time, group string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := o.group(group)
+	return g.opened || now.Sub(g.taken) > OpenAfter
+}
+
+const (
+	// ViewLease is how long a VM may take a primary for the present one after
+	// the time as of which the fleet's record named no successor: five times
+	// the interval at which the record is read.
+	ViewLease = 2 * time.Second
+	// OpenAfter is the time after which nobody can hold a view lease on an
+	// earlier primary; the margin covers clocks of uneven speed.
+	OpenAfter = ViewLease + 100*time.Millisecond
+)
+
 // Unreached returns since when the primary of a group does not serve this VM:
 // it does not answer, or acknowledges no commit. It is zero while it serves.
 func (o *Observer) Unreached(group string) time.Time {
--- a/observer/state.go
+++ b/observer/state.go
@@ -68,6 +68,9 @@
 	deposed   bool
 	samples   []sample
 	confirmed time.Time
+	// taken is when the primary was learnt; until opened it takes no writes.
+	taken     time.Time
+	opened    bool
 	unreached time.Time
 	// stuck counts the commits in a row that were not acknowledged, the first sent at stuckSince.
 	stuck      int
@@ -75,7 +78,8 @@
 }
 
 // take makes an instance the primary of a later term.
-func (g *groupState) take(id string, term uint64) {
+func (g *groupState) take(now time.Time, id string, term uint64) {
+	g.taken, g.opened = now, false
 	g.primary, g.term, g.deposed = id, term, g.highest > term
 	g.samples = nil
 	g.confirmed = time.Time{}
--- a/sessioner/server.go
+++ b/sessioner/server.go
@@ -23,9 +23,8 @@
 	Clock clocker.Clock
 	// Journal takes the decisions that touch a request.
 	Journal dispatcher.Journal
-	// Grace is how long a stop may take in all.
-	Grace time.Duration
 
+	grace    atomic.Int64
 	mu       sync.Mutex
 	sessions map[*session]bool
 	leaving  atomic.Bool
@@ -66,6 +65,11 @@
 	})
 }
 
+// SetGrace changes how long a stop may take in all.
+func (s *Server) SetGrace(grace time.Duration) {
+	s.grace.Store(int64(grace))
+}
+
 // Sessions returns the number of callers.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
@@ -95,7 +99,8 @@
 // Drain lets callers finish and returns when all have left, or the grace is nearly over.
 func (s *Server) Drain(ctx context.Context) {
 	began := time.Now()
-	part := func(p float64) time.Time { return began.Add(time.Duration(p * float64(s.Grace))) }
+	grace := s.grace.Load()
+	part := func(p float64) time.Time { return began.Add(time.Duration(p * float64(grace))) }
 	end := part(transactionPart)
 	s.end.Store(&end)
 	s.leaving.Store(true)
--- a/switcher/inspect.go
+++ b/switcher/inspect.go
@@ -29,7 +29,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			out[n].Status = &status
-			if st.Kind == phraser.Status && s.Observer.ObserveStatus(asked, i, status) {
+			if st.Kind == phraser.Status && s.Observer.ObserveStatus(s.Clock.Now(), asked, i, status) {
 				s.announce(i, status)
 			}
 			return nil
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -30,10 +30,17 @@
 
 // Lease is the duty of replacing primaries.
 type Lease interface {
-	// Acquire takes or renews the duty.
-	Acquire(ctx context.Context, intents map[string]uint64) (leaser.Grant, error)
-	// Look reads the lease.
-	Look(ctx context.Context) error
+	// Acquire takes or renews the duty; change edits the record that goes with it.
+	Acquire(ctx context.Context, change func(r *leaser.Record)) (leaser.Grant, error)
+	// Known returns the record as last seen.
+	Known() leaser.Record
+}
+
+// Announcer makes sure that no VM takes a superseded primary for the present one.
+type Announcer interface {
+	// Announce tells all VMs a record that was written before a time, and
+	// returns once it is safe to let the successor take writes.
+	Announce(ctx context.Context, written time.Time, r leaser.Record) bool
 }
 
 // Journal takes the decisions.
@@ -54,6 +61,8 @@
 	Fleet Fleet
 	// Lease is the duty.
 	Lease Lease
+	// Announcer tells the other VMs what is superseded.
+	Announcer Announcer
 	// Promoter replaces primaries.
 	Promoter Promoter
 	// Fit reports whether this VM may take the duty now.
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -43,19 +43,59 @@
 		return errSettled
 	}
 	term := newest + 1
-	grant, err := s.Lease.Acquire(ctx, map[string]uint64{group: term})
+	grant, err := s.Lease.Acquire(ctx, func(r *leaser.Record) { r.Superseded[group] = max(r.Superseded[group], known) })
 	if err != nil {
 		return eris.Wrap(err, "taking the duty")
 	}
+	written, record := s.Clock.Now(), s.Lease.Known()
 	s.Journal.Belief("replacement-begun", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "verdict", Value: v},
 		dispatcher.Field{Name: "former", Value: formerID}, dispatcher.Field{Name: "term", Value: term}, dispatcher.Field{Name: "token", Value: grant.Token})
+	announced := make(chan struct{})
+	s.group.Go(func() error {
+		defer close(announced)
+		s.Announcer.Announce(ctx, written, record)
+		return nil
+	})
 	former, replicas := s.stop(ctx, instances, formerID, term)
 	next, ok := Elect(former, replicas)
 	if !ok {
 		s.release(ctx, replicas)
+		s.withdraw(ctx, group, known)
 		return errUnsafe
 	}
-	return s.promote(ctx, grant, next, term)
+	if err := s.promote(ctx, grant, next, term); err != nil {
+		return err
+	}
+	<-announced
+	s.open(ctx, group)
+	return nil
+}
+
+// withdraw takes back that a term is superseded, as no successor was named.
+func (s *Switcher) withdraw(ctx context.Context, group string, term uint64) {
+	_, err := s.Lease.Acquire(ctx, func(r *leaser.Record) {
+		if r.Superseded[group] == term {
+			delete(r.Superseded, group)
+		}
+	})
+	if err != nil {
+		s.Journal.Belief("withdrawal-failed", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "error", Value: err.Error()})
+	}
+}
+
+// open lets the new primary of a group take writes.
+func (s *Switcher) open(ctx context.Context, group string) {
+	primary, term, ok := s.Observer.Primary(group)
+	if !ok {
+		return
+	}
+	s.Observer.Open(group, term)
+	s.Fleet.Hurry()
+	s.Journal.Belief("primary-opened", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "primary", Value: primary}, dispatcher.Field{Name: "term", Value: term})
+	if _, err := s.Lease.Acquire(ctx, func(r *leaser.Record) { r.Opened[group] = term }); err != nil {
+		// Processes that start later wait until nobody can hold an old lease.
+		s.Journal.Belief("opening-not-recorded", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "error", Value: err.Error()})
+	}
 }
 
 // stop keeps the former primary from acknowledging anything, and returns what the instances said.
@@ -111,7 +151,7 @@
 		}
 		asked := s.Clock.Now()
 		if st, err := s.Controller.Control(ctx, next, phraser.Statement{Kind: phraser.Status}); err == nil && st.Leads {
-			if s.Observer.ObserveStatus(asked, next, st) {
+			if s.Observer.ObserveStatus(s.Clock.Now(), asked, next, st) {
 				s.announce(next, st)
 			}
 			return nil
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -23,7 +23,7 @@
 	// tick is how often the groups are looked at.
 	tick = 100 * time.Millisecond
 	// inspectEvery is how often the first VM asks all instances what they are.
-	inspectEvery = time.Second
+	inspectEvery = 5 * time.Second
 	// retryAfter is the pause after a replacement that failed.
 	retryAfter = 400 * time.Millisecond
 	// duty names the duty for the ranking of the VMs.
@@ -51,9 +51,6 @@
 
 // Run looks after the groups until ctx ends.
 func (s *Switcher) Run(ctx context.Context) error {
-	if err := s.Lease.Look(ctx); err != nil {
-		s.Journal.Belief("duty-unknown", dispatcher.Field{Name: "error", Value: err.Error()})
-	}
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/voucher/voucher.go
@@ -0,0 +1,252 @@
+// Package voucher lets each VM know, without asking the instances, that the
+// primaries it knows have no successors.
+//
+// The VM that replaces a primary first writes into the fleet's record which
+// term it ends. One VM reads that record several times a second, and the others
+// ask it how old its knowledge is. For the length of a lease after the time as
+// of which the record named no successor, a VM takes its primaries for the
+// present ones. A successor takes no writes until all VMs have taken note, or
+// the lease has passed since the record was written.
+//
+// Without the store the leases run out and the instances are asked instead.
+package voucher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/placer"
+)
+
+const (
+	// interval is how often the record is read, or asked for.
+	interval = 400 * time.Millisecond
+	// readAge is the age of the knowledge from others at which a VM reads the record itself.
+	readAge = 3 * interval
+	// announceEvery is how often VMs that have not taken note are told again.
+	announceEvery = 60 * time.Millisecond
+	// margin is taken off a lease for clocks of uneven speed.
+	margin = 50 * time.Millisecond
+	// duty names the reading of the record for the ranking of the VMs.
+	duty = "read-record"
+)
+
+// question asks a VM what it knows, and may tell it a later record.
+type question struct {
+	Nonce  uint64         `cbor:"1,keyasint"`
+	Record *leaser.Record `cbor:"2,keyasint,omitempty"`
+}
+
+// answer is what a VM knows.
+type answer struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+	// Name and Incarnation name the process that answers.
+	Name        string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"6,keyasint"`
+	// Known reports that the VM has read or heard the record.
+	Known bool `cbor:"3,keyasint,omitempty"`
+	// Age is how old its knowledge is.
+	Age time.Duration `cbor:"4,keyasint"`
+	// Record is the record as it knows it.
+	Record leaser.Record `cbor:"5,keyasint"`
+}
+
+// Voucher vouches for the primaries on one VM. It is safe for concurrent use.
+type Voucher struct {
+	Parts
+
+	mu     sync.Mutex
+	record leaser.Record
+	asOf   time.Time
+	known  bool
+	nonce  uint64
+	asked  map[uint64]time.Time
+	noted  map[process]uint64
+}
+
+// process is one process of a VM.
+type process struct {
+	name        string
+	incarnation uint64
+}
+
+// New returns a Voucher that knows nothing.
+func New(p Parts) *Voucher {
+	return &Voucher{Parts: p, asked: map[uint64]time.Time{}, noted: map[process]uint64{}}
+}
+
+// Run keeps the knowledge fresh until ctx ends.
+func (v *Voucher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		v.step(ctx, v.Clock.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// step refreshes the knowledge once.
+func (v *Voucher) step(ctx context.Context, now time.Time) {
+	names := []string{v.Name}
+	for _, p := range v.Fleet.Alive(now) {
+		if !p.StoreUnreachable && !p.Leaving {
+			names = append(names, p.Name)
+		}
+	}
+	first := placer.First(duty, names)
+	if first != v.Name {
+		for _, p := range v.Fleet.Alive(now) {
+			if p.Name == first {
+				v.ask(now, p, nil)
+			}
+		}
+	}
+	if first == v.Name || v.Age(now) > readAge {
+		record, asOf, err := v.Record.Look(ctx)
+		if err == nil {
+			v.take(v.Clock.Now(), asOf, record)
+		}
+	}
+}
+
+// Age returns how old the knowledge of the record is.
+func (v *Voucher) Age(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.asOf)
+}
+
+// take takes the record as of a time.
+func (v *Voucher) take(now, asOf time.Time, r leaser.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.known && r.Turn < v.record.Turn {
+		return
+	}
+	if !v.known || r.Turn > v.record.Turn || asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+	v.record, v.known = r, true
+	for _, group := range v.Observer.Groups() {
+		v.Observer.Vouch(now, asOf, asOf.Add(v.Lease-margin), group, r.Superseded[group], r.Opened[group])
+	}
+}
+
+// note takes a later record of which it is not known how fresh it is.
+func (v *Voucher) note(now time.Time, r leaser.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.known && r.Turn <= v.record.Turn {
+		return
+	}
+	v.record, v.known, v.asOf = r, true, time.Time{}
+	for group, superseded := range r.Superseded {
+		v.Observer.Revoke(now, group, superseded)
+	}
+}
+
+// ask sends a question to a VM.
+func (v *Voucher) ask(now time.Time, p gossiper.Peer, r *leaser.Record) {
+	v.mu.Lock()
+	v.nonce++
+	q := question{Nonce: v.nonce, Record: r}
+	for nonce, at := range v.asked {
+		if now.Sub(at) > v.Lease {
+			delete(v.asked, nonce)
+		}
+	}
+	v.asked[q.Nonce] = now
+	v.mu.Unlock()
+	b, err := cbor.Marshal(q)
+	if err != nil {
+		panic(err)
+	}
+	v.Fleet.Ask(p.Address, b)
+}
+
+// Answer answers the question of another VM; nil is no answer.
+func (v *Voucher) Answer(now time.Time, b []byte) []byte {
+	var q question
+	if cbor.Unmarshal(b, &q) != nil {
+		return nil
+	}
+	if q.Record != nil {
+		v.note(now, *q.Record)
+	}
+	v.mu.Lock()
+	a := answer{Nonce: q.Nonce, Name: v.Name, Incarnation: v.Incarnation, Known: v.known && !v.asOf.IsZero(), Age: now.Sub(v.asOf), Record: v.record}
+	v.mu.Unlock()
+	out, err := cbor.Marshal(a)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Hear takes the answer of another VM.
+//
+// The answer was written after the question was sent, so what it says held at
+// least at the time of the question less the age that it names.
+func (v *Voucher) Hear(now time.Time, b []byte) {
+	var a answer
+	if cbor.Unmarshal(b, &a) != nil {
+		return
+	}
+	v.mu.Lock()
+	sent, ok := v.asked[a.Nonce]
+	delete(v.asked, a.Nonce)
+	who := process{a.Name, a.Incarnation}
+	v.noted[who] = max(v.noted[who], a.Record.Turn)
+	v.mu.Unlock()
+	if ok && a.Known {
+		v.take(now, sent.Add(-a.Age), a.Record)
+	}
+}
+
+// Announce tells all VMs a record that was written before the time written, and
+// returns once no VM vouches any more for what it supersedes.
+func (v *Voucher) Announce(ctx context.Context, written time.Time, r leaser.Record) bool {
+	v.note(v.Clock.Now(), r)
+	for {
+		now := v.Clock.Now()
+		if now.Sub(written) > v.Lease+margin {
+			return true
+		}
+		missing := v.missing(now, r.Turn)
+		if len(missing) == 0 {
+			return true
+		}
+		for _, p := range missing {
+			v.ask(now, p, &r)
+		}
+		t := time.NewTimer(announceEvery)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		}
+	}
+}
+
+// missing returns the VMs that have not taken note of a turn of the record.
+func (v *Voucher) missing(now time.Time, turn uint64) []gossiper.Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []gossiper.Peer
+	for _, p := range v.Fleet.Members(now) {
+		if v.noted[process{p.Name, p.Incarnation}] < turn {
+			out = append(out, p)
+		}
+	}
+	return out
+}
