perf: connections are opened one by one beyond a VM's share; the duty stays with its holder

The replacement of a leaving primary waited 4.3 s for a lease that another VM held, whose age was counted from the first look at it. Ruled out: load at the instances (seconds without any fault suffered as well). Change: each VM may hold cap/VMs; beyond it one dial at a time, backing off while the instance is full; nothing beyond the share is kept idle. The holder of the duty ranks first; the age of the lease counts from when any VM read it.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -1,9 +1,10 @@
 // Package connector keeps the connections of one VM to the instances.
 //
 // An instance takes a bounded number of connections from all VMs together and
-// each connection runs for one organisation only. A VM therefore opens what it
-// needs, keeps a few idle ones for reuse, and gives idle ones of another
-// organisation up before it asks for more.
+// each connection runs for one organisation only. A VM always may hold its
+// share; it opens more one by one, and steps back for longer each time that the
+// instance has no room, so that VMs in need do not flood the instance. Idle
+// connections of other organisations are given up first.
 package connector
 
 import (
@@ -19,9 +20,15 @@
 )
 
 const (
-	// fullBackoff is the pause after an instance had no room for a connection:
-	// about the time of one short statement, after which one may be free.
-	fullBackoff = 40 * time.Millisecond
+	// fullFirst is the pause after an instance had no room for a connection:
+	// about the time of one short statement, after which one may be free. It
+	// doubles up to fullMost.
+	fullFirst = 40 * time.Millisecond
+	fullMost  = 320 * time.Millisecond
+	// dialsAtOnce is the number of connections that are opened at a time.
+	dialsAtOnce = 2
+	// waitSlice is how long a caller waits before it looks again by itself.
+	waitSlice = 50 * time.Millisecond
 	// idleFor is how long an idle connection is kept.
 	idleFor = 15 * time.Second
 )
@@ -39,6 +46,8 @@
 	bounds    Bounds
 	idle      []*Link
 	open      int
+	dialing   int
+	fullTimes int
 	fullUntil time.Time
 	waiting   []chan struct{}
 	closed    bool
@@ -110,15 +119,17 @@
 		}
 	}
 	if wait := p.fullUntil.Sub(now); wait > 0 {
-		return nil, false, wait
+		return nil, false, min(wait, waitSlice)
 	}
-	if p.open >= p.bounds.Most {
-		if len(p.idle) == 0 {
-			return nil, false, fullBackoff
-		}
+	beyond := p.open >= p.bounds.Share
+	if p.dialing >= dialsAtOnce || (beyond && p.dialing > 0) || (p.open >= p.bounds.Most && len(p.idle) == 0) {
+		return nil, false, waitSlice
+	}
+	if beyond && len(p.idle) > 0 {
 		p.evict()
 	}
 	p.open++
+	p.dialing++
 	return nil, true, 0
 }
 
@@ -135,23 +146,22 @@
 	conn, err := p.dialer.Dial(ctx, p.target, organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing--
 	if err == nil && p.closed {
 		_ = conn.Close()
 		err = ErrNoRoom
 	}
 	if err == nil {
 		p.opened++
+		p.fullTimes = 0
+		p.wake()
 		return &Link{Conn: conn, Organisation: organisation, pool: p, fresh: true,
 			values: map[string]string{}, prepared: map[string]bool{}}, nil
 	}
 	p.open--
 	if isFull(err) {
-		now := p.clock.Now()
-		p.fullUntil = now.Add(fullBackoff)
-		if len(p.idle) > 0 {
-			p.evict()
-			p.fullUntil = now
-		}
+		p.fullUntil = p.clock.Now().Add(min(fullFirst<<min(p.fullTimes, 8), fullMost))
+		p.fullTimes++
 	}
 	p.wake()
 	return nil, err
@@ -210,16 +220,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.wake()
-	if !reusable || p.closed || p.open > p.bounds.Most {
+	if !reusable || p.closed || (p.open > p.bounds.Share && len(p.waiting) == 0) {
 		p.open--
 		_ = l.Close()
 		return
 	}
 	l.idleFrom = now
 	p.idle = append(p.idle, l)
-	for len(p.idle) > p.bounds.Idle {
-		p.evict()
-	}
 }
 
 // drop closes a connection that the instance has closed.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,9 +25,6 @@
 const (
 	// pollEvery is how often a waiting statement looks whether it can go on.
 	pollEvery = 15 * time.Millisecond
-	// reserveConnections are the connections of an instance that no VM keeps
-	// idle, so that a VM in need finds room at once.
-	reserveConnections = 5
 )
 
 // Dispatcher runs statements. It is safe for concurrent use.
@@ -84,7 +81,7 @@
 	if most == 0 {
 		most = defaultConnections
 	}
-	return connector.Bounds{Most: most, Idle: max(1, (most-reserveConnections)/d.vms)}
+	return connector.Bounds{Share: max(1, most/d.vms), Most: most}
 }
 
 // defaultConnections is assumed of a group before its configuration is known.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -36,6 +36,7 @@
 	version  string
 	revision uint64
 	since    time.Time
+	heard    turn
 	grant    Grant
 }
 
@@ -72,6 +73,21 @@
 	return l.Known(), asked, nil
 }
 
+// turn is a write of the lease with the time at which it was first heard of.
+type turn struct {
+	number uint64
+	since  time.Time
+}
+
+// Heard notes a lease that another VM has read, from which its age is counted.
+func (l *Leaser) Heard(now time.Time, r Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard.since.IsZero() || r.Turn > l.heard.number {
+		l.heard = turn{number: r.Turn, since: now}
+	}
+}
+
 // see takes the lease as it was read; without a version there is none.
 func (l *Leaser) see(now time.Time, o keeper.Object) error {
 	l.mu.Lock()
@@ -84,6 +100,9 @@
 	}
 	if l.since.IsZero() || o.Version != l.version {
 		l.since = now
+		if l.heard.number == r.Turn && !l.heard.since.IsZero() {
+			l.since = l.heard.since
+		}
 	}
 	l.record, l.version, l.revision = r, o.Version, o.Revision
 	return nil
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -41,6 +41,8 @@
 	// Announce tells all VMs a record that was written before a time, and
 	// returns once it is safe to let the successor take writes.
 	Announce(ctx context.Context, written time.Time, r leaser.Record) bool
+	// Record returns the fleet's record as last heard.
+	Record() leaser.Record
 }
 
 // Journal takes the decisions.
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -103,7 +103,17 @@
 			names = append(names, p.Name)
 		}
 	}
-	return slices.Index(placer.Rank(duty, names), s.Name)
+	return slices.Index(order(names, s.Announcer.Record().Holder), s.Name)
+}
+
+// order ranks the VMs that may replace primaries. The one that holds the duty
+// goes first: another would have to wait until its lease has run out.
+func order(names []string, holder string) []string {
+	ranked := placer.Rank(duty, names)
+	if n := slices.Index(ranked, holder); n > 0 {
+		ranked = slices.Insert(slices.Delete(ranked, n, n+1), 0, holder)
+	}
+	return ranked
 }
 
 // view returns what is known of a group.
--- a/voucher/parts.go
+++ b/voucher/parts.go
@@ -24,6 +24,8 @@
 type Record interface {
 	// Look reads the record and returns it with the time as of which it was so.
 	Look(ctx context.Context) (leaser.Record, time.Time, error)
+	// Heard notes a record that another VM has read.
+	Heard(now time.Time, r leaser.Record)
 }
 
 // Fleet knows the other VMs.
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -111,13 +111,20 @@
 		}
 	}
 	if first == v.Name || v.Age(now) > readAge {
-		record, asOf, err := v.Record.Look(ctx)
+		record, asOf, err := v.Parts.Record.Look(ctx)
 		if err == nil {
 			v.take(v.Clock.Now(), asOf, record)
 		}
 	}
 }
 
+// Record returns the record as last heard.
+func (v *Voucher) Record() leaser.Record {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.record
+}
+
 // Age returns how old the knowledge of the record is.
 func (v *Voucher) Age(now time.Time) time.Duration {
 	v.mu.Lock()
@@ -136,6 +143,7 @@
 		v.asOf = asOf
 	}
 	v.record, v.known = r, true
+	v.Parts.Record.Heard(now, r)
 	for _, group := range v.Observer.Groups() {
 		v.Observer.Vouch(now, asOf, asOf.Add(v.Lease-margin), group, r.Superseded[group], r.Opened[group])
 	}
@@ -149,6 +157,7 @@
 		return
 	}
 	v.record, v.known, v.asOf = r, true, time.Time{}
+	v.Parts.Record.Heard(now, r)
 	for group, superseded := range r.Superseded {
 		v.Observer.Revoke(now, group, superseded)
 	}
