perf: operations wait for their token for up to half of the target

Cause: refusals of organisations at their limit looked like tokens lost to idle moments. Refused operations belong to small organisations whose rate, split over all VMs, leaves buckets of one token. Kept, since a token that will exist within the target is better than a refusal.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -162,7 +162,7 @@
 
 // admit takes a token of the organisation's rate, waiting a moment for it if need be.
 func (d *Dispatcher) admit(ctx context.Context, u Unit) (phraser.Answer, bool) {
-	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation)
+	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, u.Route.Target/admitShare)
 	if !ok {
 		share, demand := d.Sharer.Share(u.Organisation)
 		d.Journal.Request("refuse", u.Statement.ID, Field{"code", coder.OverRate}, Field{"organisation", u.Organisation},
@@ -175,6 +175,10 @@
 	return phraser.Answer{}, true
 }
 
+// admitShare is the part of a route's target for which an operation waits for
+// its token; what remains is enough to be served in time.
+const admitShare = 2
+
 // pause waits and reports whether ctx is still alive.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -80,6 +80,7 @@
 		seeds[name] = seed{address: a, since: since}
 	}
 	g.seeds, g.seeded = seeds, true
+	g.Hurry()
 }
 
 // Expected returns the number of VMs that belong to the fleet and may yet be
@@ -257,6 +258,10 @@
 	p := g.peers[m.Name]
 	stale := m.Name == g.self.Name || (p != nil && p.outdates(now, m))
 	if !stale {
+		// A process that has just started should not wait for its news.
+		if p == nil || p.Incarnation != m.Incarnation {
+			defer g.Hurry()
+		}
 		g.peers[m.Name] = &Peer{Message: m, Heard: now}
 	}
 	g.mu.Unlock()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -23,11 +23,9 @@
 	evenPart = 0.15
 	// firstTokens is the part of its burst that a process starts with: others
 	// may have spent the burst just before.
-	firstTokens = 0.1
+	firstTokens = 0.5
 	// AssumedSilent is the number of other VMs assumed before anything is known.
 	AssumedSilent = 31
-	// longestWait is how long an operation waits for its token.
-	longestWait = 60 * time.Millisecond
 )
 
 // Sharer admits operations. It is safe for concurrent use.
@@ -134,8 +132,12 @@
 	a.asked, a.since = 0, now
 }
 
-// Admit takes a token for one operation. Without one, wait tells when to come back.
-func (s *Sharer) Admit(now time.Time, organisation string) (wait time.Duration, ok bool) {
+// Admit takes a token for one operation, which must wait for it, but not longer
+// than the longest wait. Without a token, wait tells when to come back.
+//
+// An organisation at its limit so loses no token to the moments in which it
+// asks for nothing at this VM.
+func (s *Sharer) Admit(now time.Time, organisation string, longest time.Duration) (wait time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.accounts[organisation]
@@ -143,7 +145,7 @@
 		return 0, true
 	}
 	a.asked++
-	return a.bucket.Reserve(now, longestWait)
+	return a.bucket.Reserve(now, longest)
 }
 
 // Return gives back the token of an operation that did not run.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -29,6 +29,7 @@
 	organisation = "o"
 	step         = 10 * time.Millisecond
 	tellEvery    = 50 // steps
+	longest      = 200 * time.Millisecond
 )
 
 func newFleet(n int, limit limiter.Limit) *fleet {
@@ -60,7 +61,7 @@
 			if random.Float64() >= demand(i)*step.Seconds() {
 				continue
 			}
-			if _, ok := vm.Admit(f.now, organisation); ok {
+			if _, ok := vm.Admit(f.now, organisation, longest); ok {
 				out[n]++
 			}
 		}
@@ -169,7 +170,7 @@
 				continue
 			}
 			asked++
-			if _, ok := vm.Admit(f.now, organisation); !ok {
+			if _, ok := vm.Admit(f.now, organisation, longest); !ok {
 				refused++
 			}
 		}
