perf: part of each rate is kept whole and lent token by token

Ruled out: waiting longer for a token (no change); using the users' tolerance (the promise is the rate and the burst). Change: 0.6 of each rate lies with one VM per organisation, which lends single tokens over a datagram; one that hears only part of the fleet lends in proportion.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/dig"
 
+	"github.com/marigoldgauge/marigoldgauge/borrower"
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
@@ -26,6 +27,7 @@
 	cataloguer.NewHolder,
 	newObserver,
 	sharer.New,
+	newBorrower,
 	newDispatcher,
 	newSessions,
 	newLeaser,
@@ -80,9 +82,14 @@
 	})
 }
 
+// newBorrower returns the borrower of this VM.
+func newBorrower(p Parts, s *sharer.Sharer) *borrower.Borrower {
+	return borrower.New(p.Settings.VM.ID, s, p.Clock)
+}
+
 // newDispatcher returns a dispatcher without instances.
-func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, j *journaler.Journaler) *dispatcher.Dispatcher {
-	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j})
+func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, b *borrower.Borrower, j *journaler.Journaler) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Borrower: b, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j})
 }
 
 // newSessions returns a server without callers.
@@ -105,13 +112,15 @@
 	news := &news{newsParts: n, settings: p.Settings}
 	g := gossiper.New(p.Transport, p.Clock, news.compose, news.hear)
 	news.gossiper = g
+	n.Borrower.Join(g)
+	g.Handle(borrower.Topic, n.Borrower.Answer, n.Borrower.Hear)
 	return g
 }
 
 // newVoucher returns the voucher of this VM.
 func newVoucher(p Parts, o *observer.Observer, l *leaser.Leaser, g *gossiper.Gossiper, s *state) *voucher.Voucher {
 	v := voucher.New(voucher.Parts{Name: p.Settings.VM.ID, Incarnation: s.incarnation, Observer: o, Record: l, Fleet: g, Clock: p.Clock, Lease: observer.ViewLease})
-	g.Handle(v.Answer, v.Hear)
+	g.Handle(voucher.Topic, v.Answer, v.Hear)
 	return v
 }
 
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/dig"
 
+	"github.com/marigoldgauge/marigoldgauge/borrower"
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
@@ -28,6 +29,7 @@
 	Dispatcher *dispatcher.Dispatcher
 	Sessions   *sessioner.Server
 	Journal    *journaler.Journaler
+	Borrower   *borrower.Borrower
 	State      *state
 }
 
@@ -85,9 +87,11 @@
 	if !ok {
 		silent = sharer.AssumedSilent
 	}
-	n.Sharer.SetPeers(now, peers, silent)
+	alive := len(n.gossiper.Alive(now))
+	heard := float64(alive+1) / float64(len(known)+silent+1)
+	n.Sharer.SetPeers(now, peers, silent, heard, func(organisation string) bool { return n.Borrower.Lends(now, organisation) })
 	if c := n.Catalogue.Current(); c != nil {
-		n.Dispatcher.SetShape(c.Groups, len(n.gossiper.Alive(now))+1)
+		n.Dispatcher.SetShape(c.Groups, alive+1)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -162,7 +162,15 @@
 
 // admit takes a token of the organisation's rate, waiting a moment for it if need be.
 func (d *Dispatcher) admit(ctx context.Context, u Unit) (phraser.Answer, bool) {
-	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, u.Route.Target/admitShare)
+	longest := u.Route.Target / admitShare
+	d.Sharer.Ask(u.Organisation)
+	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, 0)
+	if !ok {
+		wait, ok = d.Borrower.Borrow(ctx, u.Organisation, longest)
+	}
+	if !ok {
+		wait, ok = d.Sharer.Admit(d.Clock.Now(), u.Organisation, longest)
+	}
 	if !ok {
 		share, demand := d.Sharer.Share(u.Organisation)
 		d.Journal.Request("refuse", u.Statement.ID, Field{"code", coder.OverRate}, Field{"organisation", u.Organisation},
--- a/dispatcher/parts.go
+++ b/dispatcher/parts.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"context"
+	"time"
+
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/observer"
@@ -13,6 +16,8 @@
 	Observer *observer.Observer
 	// Sharer holds organisations to their rates.
 	Sharer *sharer.Sharer
+	// Borrower finds tokens that other VMs lend.
+	Borrower Borrower
 	// Dialer opens connections.
 	Dialer connector.Dialer
 	// Clock tells the present time.
@@ -20,3 +25,10 @@
 	// Journal takes the decisions that touch a request.
 	Journal Journal
 }
+
+// Borrower finds tokens that other VMs lend.
+type Borrower interface {
+	// Borrow takes a token for one operation, which must wait for it. Without
+	// one, wait tells when to come back.
+	Borrow(ctx context.Context, organisation string, longest time.Duration) (wait time.Duration, ok bool)
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -42,9 +42,7 @@
 	clock     clocker.Clock
 	compose   func(now time.Time) Message
 	heard     func(now time.Time, m Message)
-
-	answer     func(now time.Time, question []byte) []byte
-	hearAnswer func(now time.Time, answer []byte)
+	topics    map[Topic]topic
 
 	mu       sync.Mutex
 	self     Message
@@ -58,7 +56,7 @@
 // New returns a Gossiper. compose writes this VM's message but for its
 // sequence; heard is told of each message of another VM.
 func New(t Transport, c clocker.Clock, compose func(now time.Time) Message, heard func(now time.Time, m Message)) *Gossiper {
-	return &Gossiper{transport: t, clock: c, compose: compose, heard: heard, peers: map[string]*Peer{}, urgent: make(chan struct{}, 1)}
+	return &Gossiper{transport: t, clock: c, compose: compose, heard: heard, peers: map[string]*Peer{}, topics: map[Topic]topic{}, urgent: make(chan struct{}, 1)}
 }
 
 // seed is a VM that may not have been heard yet.
@@ -206,15 +204,24 @@
 	_ = g.transport.Send(to, append([]byte{frame}, b...))
 }
 
-// Handle lets answer reply to the questions of other VMs, and hear take the
-// answers to this VM's. It is called before Run.
-func (g *Gossiper) Handle(answer func(now time.Time, question []byte) []byte, hear func(now time.Time, answer []byte)) {
-	g.answer, g.hearAnswer = answer, hear
+// Topic tells questions of different parts apart.
+type Topic byte
+
+// topic is who answers the questions about one topic, and hears the answers.
+type topic struct {
+	answer func(now time.Time, question []byte) []byte
+	hear   func(now time.Time, answer []byte)
 }
 
-// Ask sends a question to a VM; the answer may never come.
-func (g *Gossiper) Ask(to netip.AddrPort, question []byte) {
-	g.send(to, frameQuestion, question)
+// Handle lets answer reply to the questions of other VMs about a topic, and hear
+// take the answers to this VM's. It is called before Run.
+func (g *Gossiper) Handle(t Topic, answer func(now time.Time, question []byte) []byte, hear func(now time.Time, answer []byte)) {
+	g.topics[t] = topic{answer: answer, hear: hear}
+}
+
+// Ask sends a question about a topic to a VM; the answer may never come.
+func (g *Gossiper) Ask(to netip.AddrPort, t Topic, question []byte) {
+	g.send(to, frameQuestion, append([]byte{byte(t)}, question...))
 }
 
 // receive takes the messages of the others until ctx ends.
@@ -242,12 +249,25 @@
 		if cbor.Unmarshal(b, &m) == nil {
 			g.take(m)
 		}
-	case frameQuestion:
-		if a := g.answer(g.clock.Now(), b); a != nil {
-			g.send(from, frameAnswer, a)
+	case frameQuestion, frameAnswer:
+		if len(b) > 0 {
+			g.converse(from, frame, Topic(b[0]), b[1:])
 		}
-	case frameAnswer:
-		g.hearAnswer(g.clock.Now(), b)
+	}
+}
+
+// converse takes a question or an answer about a topic.
+func (g *Gossiper) converse(from netip.AddrPort, frame byte, about Topic, b []byte) {
+	t, ok := g.topics[about]
+	if !ok {
+		return
+	}
+	if frame == frameAnswer {
+		t.hear(g.clock.Now(), b)
+		return
+	}
+	if a := t.answer(g.clock.Now(), b); a != nil {
+		g.send(from, frameAnswer, append([]byte{byte(about)}, a...))
 	}
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,10 +1,14 @@
 // Package sharer holds each organisation to its rate and burst over the whole
 // fleet, without a call for each request.
 //
-// Every VM tells the others how much each organisation asks of it. A VM's share
-// of a rate is its part of that demand, so all shares together make up the
-// rate. A VM that is not heard keeps the share that it was last known to have,
-// until it is known to be gone; for itself it keeps that share, too.
+// One part of each rate is split: every VM tells the others how much each
+// organisation asks of it, and its share is its part of that demand. A VM that
+// is not heard keeps the share that it was last known to have until it is known
+// to be gone. The other part is kept whole by one VM, the lender, and lent token
+// by token to VMs that run short, so that a small organisation need not spread
+// its rate over buckets of one token. A lender that hears only some of the VMs
+// lends in proportion to those, so two lenders that do not hear each other
+// never lend more than the part.
 package sharer
 
 import (
@@ -18,6 +22,9 @@
 	// demandOver is the time over which demand is averaged: long enough for
 	// small organisations, short against the window in which rates are counted.
 	demandOver = 2 * time.Second
+	// lentPart is the part of a rate that is lent: small enough that the split
+	// part serves alone while the lender is silent.
+	lentPart = 0.6
 	// evenPart is the part of a rate that is shared evenly whatever the demand,
 	// so that the first requests at another VM need not wait for news.
 	evenPart = 0.15
@@ -35,12 +42,15 @@
 	told     map[string]float64
 	peers    []Peer
 	silent   int
+	lends    func(organisation string) bool
+	heard    float64
 }
 
 // account is the state of one organisation.
 type account struct {
 	whole  limiter.Limit
 	bucket *limiter.Bucket
+	lent   *limiter.Bucket
 	share  float64
 	demand float64
 	since  time.Time
@@ -73,11 +83,13 @@
 }
 
 // SetPeers takes what the other VMs tell, and divides the rates anew. An even
-// share is left to each of the silent VMs, which may be spending it.
-func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int) {
+// share is left to each of the silent VMs, which may be spending it. The part of
+// them all that was heard a moment ago bounds what this VM lends of the rates
+// for which lends is true.
+func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int, heard float64, lends func(organisation string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers, s.silent = peers, silent
+	s.peers, s.silent, s.heard, s.lends = peers, silent, heard, lends
 	s.divide(now)
 }
 
@@ -94,7 +106,8 @@
 		if total > 0 {
 			a.share = part * (evenPart/heard + (1-evenPart)*s.told[name]/total)
 		}
-		limit := a.whole.Scale(a.share)
+		s.setLent(now, name, a)
+		limit := a.whole.Scale((1 - lentPart) * a.share)
 		limit.Burst = max(limit.Burst, 1)
 		if a.bucket == nil {
 			a.bucket = limiter.NewBucket(now, limit, max(1, limit.Burst*firstTokens))
@@ -104,6 +117,34 @@
 	}
 }
 
+// setLent works out what this VM lends of one rate. The lock is held.
+func (s *Sharer) setLent(now time.Time, name string, a *account) {
+	if s.lends == nil || !s.lends(name) {
+		a.lent = nil
+		return
+	}
+	limit := a.whole.Scale(lentPart * s.heard)
+	limit.Burst = max(limit.Burst, 1)
+	if a.lent == nil {
+		// The lender before may have lent its whole burst just now.
+		a.lent = limiter.NewBucket(now, limit, 0)
+		return
+	}
+	a.lent.Set(now, limit)
+}
+
+// Lend takes a token of the part that this VM lends. Without one, wait tells
+// when to come back, or is zero when this VM is not the lender.
+func (s *Sharer) Lend(now time.Time, organisation string, longest time.Duration) (wait time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.accounts[organisation]
+	if a == nil || a.lent == nil {
+		return 0, false
+	}
+	return a.lent.Reserve(now, longest)
+}
+
 // Tell returns the demand of each organisation, for the other VMs.
 //
 // The shares follow what was told and not what was measured since, so that all
@@ -132,11 +173,9 @@
 	a.asked, a.since = 0, now
 }
 
-// Admit takes a token for one operation, which must wait for it, but not longer
-// than the longest wait. Without a token, wait tells when to come back.
-//
-// An organisation at its limit so loses no token to the moments in which it
-// asks for nothing at this VM.
+// Admit takes a token of this VM's share for one operation, which must wait for
+// it, but not longer than the longest wait. Without a token, wait tells when
+// there will be one.
 func (s *Sharer) Admit(now time.Time, organisation string, longest time.Duration) (wait time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -144,10 +183,18 @@
 	if a == nil || a.bucket == nil || a.whole.Rate <= 0 {
 		return 0, true
 	}
-	a.asked++
 	return a.bucket.Reserve(now, longest)
 }
 
+// Ask counts an operation that was asked for.
+func (s *Sharer) Ask(organisation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[organisation]; a != nil {
+		a.asked++
+	}
+}
+
 // Return gives back the token of an operation that did not run.
 func (s *Sharer) Return(now time.Time, organisation string) {
 	s.mu.Lock()
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -61,7 +61,7 @@
 			if random.Float64() >= demand(i)*step.Seconds() {
 				continue
 			}
-			if _, ok := vm.Admit(f.now, organisation, longest); ok {
+			if f.admit(vm) {
 				out[n]++
 			}
 		}
@@ -86,10 +86,38 @@
 				silent++
 			}
 		}
-		vm.SetPeers(f.now, peers, silent)
+		heard := float64(len(peers)+1) / float64(len(f.vms))
+		vm.SetPeers(f.now, peers, silent, heard, func(string) bool { return i == f.lender(i) })
 	}
 }
 
+// lender returns the VM that VM i takes for the lender: the first that it hears.
+func (f *fleet) lender(i int) int {
+	for j := range f.vms {
+		if f.heard[j] || j == i {
+			return j
+		}
+	}
+	return i
+}
+
+// admit asks for one operation at a VM.
+func (f *fleet) admit(vm *sharer.Sharer) bool {
+	vm.Ask(organisation)
+	if _, ok := vm.Admit(f.now, organisation, 0); ok {
+		return true
+	}
+	for i := range f.vms {
+		if f.vms[i] == vm {
+			if _, ok := f.vms[f.lender(i)].Lend(f.now, organisation, longest); ok {
+				return true
+			}
+		}
+	}
+	_, ok := vm.Admit(f.now, organisation, longest)
+	return ok
+}
+
 // worst returns the most that was admitted within any window.
 func worst(admitted []int, window time.Duration) int {
 	width := int(window / step)
@@ -170,7 +198,7 @@
 				continue
 			}
 			asked++
-			if _, ok := vm.Admit(f.now, organisation, longest); !ok {
+			if !f.admit(vm) {
 				refused++
 			}
 		}
--- a/voucher/parts.go
+++ b/voucher/parts.go
@@ -35,7 +35,7 @@
 	// Members returns all other VMs of the fleet, also those that are silent.
 	Members(now time.Time) []gossiper.Peer
 	// Ask sends a question to a VM; the answer may never come.
-	Ask(to netip.AddrPort, question []byte)
+	Ask(to netip.AddrPort, t gossiper.Topic, question []byte)
 }
 
 // Parts are what a Voucher is built from.
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -36,6 +36,9 @@
 	duty = "read-record"
 )
 
+// Topic is the topic of the questions.
+const Topic gossiper.Topic = 1
+
 // question asks a VM what it knows, and may tell it a later record.
 type question struct {
 	Nonce  uint64         `cbor:"1,keyasint"`
@@ -179,7 +182,7 @@
 	if err != nil {
 		panic(err)
 	}
-	v.Fleet.Ask(p.Address, b)
+	v.Fleet.Ask(p.Address, Topic, b)
 }
 
 // Answer answers the question of another VM; nil is no answer.
