fix: instances missing from the list for a moment still count

Cause: after an outage of the store the entries that lapsed come back one by one; a VM that saw only one replica of a group took it for all of them and let it lead, without commits that another held. Ruled out: a replica restarted while stopped; the former primary answering. Change: an entry that vanished unannounced counts for 2.5 s more, the time in which it may come back; nobody replaces primaries in that time after its start or the store's return. Surveys of one group are 60 ms apart.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -55,7 +55,7 @@
 // newState returns the state of a process that has just started.
 func newState(p Parts) *state {
 	// The low bits tell processes apart that start in the same millisecond.
-	return &state{incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10)}
+	return &state{incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10), roll: observer.NewRoll()}
 }
 
 const (
@@ -131,10 +131,13 @@
 	return switcher.New(switcher.Parts{
 		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Announcer: v, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
 		Fit: func(now time.Time) bool {
-			return !sessions.Leaving() && !st.storeLost.Load() && now.Sub(started) >= settleFor
+			regained := time.Unix(0, st.storeRegained.Load())
+			return !sessions.Leaving() && !st.storeLost.Load() && now.Sub(started) >= settleFor && now.Sub(regained) >= settleFor
 		},
 	})
 }
 
-// settleFor is how long a process only listens before it replaces primaries: a few messages of each VM.
-const settleFor = 2 * time.Second
+// settleFor is how long a process only listens before it replaces primaries,
+// after its start and after the store was away: until then instances may be
+// missing from the platform's list.
+const settleFor = observer.LapseGrace
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -41,6 +41,7 @@
 	if err == nil {
 		p.State.storeReached.Store(now.UnixNano())
 		if p.State.storeLost.Swap(false) {
+			p.State.storeRegained.Store(now.UnixNano())
 			p.Journal.Belief("store-regained")
 		}
 		return
@@ -110,12 +111,14 @@
 			}
 			list = append(list, i)
 		}
-		p.takeInstances(list)
+		p.State.roll.List(p.Parts.Clock.Now(), list)
+		p.takeInstances()
 	})
 }
 
-// takeInstances takes the platform's list.
-func (p *Proxy) takeInstances(list []observer.Instance) {
+// takeInstances lets the parts know which instances there are.
+func (p *Proxy) takeInstances() {
+	list := p.State.roll.Instances(p.Parts.Clock.Now())
 	came, went, turned := p.Observer.SetInstances(list)
 	p.Dispatcher.SetInstances(came, went)
 	for _, i := range came {
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -50,6 +50,9 @@
 	instances    atomic.Bool
 	storeReached atomic.Int64
 	storeLost    atomic.Bool
+	// storeRegained is when the store last answered again, in Unix nanoseconds.
+	storeRegained atomic.Int64
+	roll          *observer.Roll
 }
 
 const (
@@ -176,6 +179,7 @@
 		select {
 		case <-ticker.C:
 			p.Dispatcher.Sweep(p.Parts.Clock.Now())
+			p.takeInstances()
 		case <-ctx.Done():
 			return nil
 		}
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -17,6 +17,9 @@
 const (
 	// confirmWithin bounds one question to an instance.
 	confirmWithin = 400 * time.Millisecond
+	// surveyEvery is the least time between two rounds of one group: statements
+	// that wait for a primary share their questions.
+	surveyEvery = 60 * time.Millisecond
 	// refreshWithin bounds a round that nobody waits for.
 	refreshWithin = time.Second
 )
@@ -66,9 +69,15 @@
 	if r := d.rounds[group]; r != nil {
 		return r
 	}
-	r := &round{asked: d.Clock.Now(), done: make(chan struct{})}
+	r := &round{done: make(chan struct{})}
 	d.rounds[group] = r
+	due := d.surveyed[group].Add(surveyEvery)
 	d.background.Go(func() error {
+		pause(context.Background(), due.Sub(d.Clock.Now()))
+		d.mu.Lock()
+		r.asked = d.Clock.Now()
+		d.surveyed[group] = r.asked
+		d.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), refreshWithin)
 		defer cancel()
 		d.survey(ctx, group)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,13 +36,15 @@
 	groups map[string]cataloguer.Group
 	vms    int
 	rounds map[string]*round
+	// surveyed is when the last round of each group began.
+	surveyed map[string]time.Time
 
 	background errgroup.Group
 }
 
 // New returns a Dispatcher without instances.
 func New(p Parts) *Dispatcher {
-	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, vms: 1, rounds: map[string]*round{}}
+	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, vms: 1, rounds: map[string]*round{}, surveyed: map[string]time.Time{}}
 }
 
 // SetInstances takes the instances that came and went.
