perf: longer watches of the store; a VM behind fetches the configuration from another

Cause: 18 watches each 1.5 s on two kinds were most of the store calls. Change: watches wait 4 s; a VM that hears of a later configuration and does not get it from the store within 300 ms fetches it from the VM that told of it.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -13,15 +15,24 @@
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/follower"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 )
 
 const (
-	// watchFor is how long one watch of the store waits. A connection that went
-	// silent is noticed within it, and a change must be in force within 3 s.
-	watchFor = 1500 * time.Millisecond
+	// watchFor is how long one watch of the store waits; each call has its price.
+	// A connection that went silent is noticed within it. Meanwhile other VMs
+	// tell of later configurations.
+	watchFor = 4 * time.Second
+	// catchUpAfter is how long a later configuration that another VM told of is
+	// waited for from the store, before it is fetched from that VM.
+	catchUpAfter = 300 * time.Millisecond
+	// fetchWithin bounds a fetch from another VM.
+	fetchWithin = time.Second
+	// maxCatalogue bounds what is read of another VM's configuration.
+	maxCatalogue = 8 << 20
 	// vmsPrefix is where the VMs of the fleet register in the store.
 	vmsPrefix = "marigoldgauge-vms/"
 	// registerRetry is the pause after a failed registration.
@@ -211,3 +222,56 @@
 	}
 	return out
 }
+
+// catchUp fetches later configurations from VMs that tell of them: the store may
+// turn this VM away while it serves others.
+func (p *Proxy) catchUp(ctx context.Context) error {
+	ticker := time.NewTicker(catchUpAfter)
+	defer ticker.Stop()
+	behind := uint64(0)
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		own, _ := p.Catalogue.Raw()
+		var ahead gossiper.Peer
+		for _, peer := range p.Gossiper.Alive(p.Parts.Clock.Now()) {
+			if peer.Version > max(own, ahead.Version) {
+				ahead = peer
+			}
+		}
+		if ahead.Version == 0 || ahead.Version != behind {
+			behind = ahead.Version
+			continue
+		}
+		if err := p.fetch(ctx, ahead); err != nil {
+			p.Journal.Belief("catch-up-failed", dispatcher.Field{Name: "from", Value: ahead.Name}, dispatcher.Field{Name: "error", Value: err.Error()})
+		}
+	}
+}
+
+// fetch takes the configuration of another VM.
+func (p *Proxy) fetch(ctx context.Context, from gossiper.Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address.String()+cataloguePath, nil)
+	if err != nil {
+		return eris.Wrap(err, "building the request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "asking for the configuration")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("the VM answered with status %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCatalogue))
+	if err != nil {
+		return eris.Wrap(err, "reading the configuration")
+	}
+	p.takeCatalogue(raw, from.Name)
+	return nil
+}
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -105,6 +105,7 @@
 		p.Journal.Run,
 		p.followCatalogue,
 		p.followInstances,
+		p.catchUp,
 		p.register,
 		p.Gossiper.Run,
 		p.Voucher.Run,
