perf: tokens go to urgent operations first; slow requests are recorded

Change: operations of routes with priority 0 or 1 wait up to half of their target for a token, all others up to an eighth. A unit carries a trace that is written when it is refused or slow.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -104,6 +104,10 @@
 	limits := make(map[string]limiter.Limit, len(c.Organisations))
 	for name, o := range c.Organisations {
 		limits[name] = o.Limit
+		if old, ok := p.Sharer.Limit(name); ok && old != o.Limit {
+			p.Journal.Belief("limit-changed", dispatcher.Field{Name: "organisation", Value: name}, dispatcher.Field{Name: "rate", Value: o.Limit.Rate},
+				dispatcher.Field{Name: "burst", Value: o.Limit.Burst}, dispatcher.Field{Name: "rate-before", Value: old.Rate}, dispatcher.Field{Name: "version", Value: c.Version})
+		}
 	}
 	now := p.Parts.Clock.Now()
 	p.Sharer.SetLimits(now, limits)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -124,6 +124,8 @@
 
 // Run runs a single statement outside a transaction.
 func (d *Dispatcher) Run(ctx context.Context, u Unit) phraser.Answer {
+	u.trace = &trace{}
+	defer d.noteSlow(u)
 	if a, ok := d.admit(ctx, u); !ok {
 		return a
 	}
@@ -134,6 +136,16 @@
 	})
 }
 
+// noteSlow records a unit that took longer than the target of its route.
+func (d *Dispatcher) noteSlow(u Unit) {
+	took := d.Clock.Now().Sub(u.Began)
+	if took <= u.Route.Target {
+		return
+	}
+	d.Journal.Request("slow", u.Statement.ID, append([]Field{{"took", took}, {"group", u.Route.Group}, {"route-kind", u.Route.Kind},
+		{"writes", u.Writes}, {"organisation", u.Organisation}}, u.trace.fields()...)...)
+}
+
 // repeat places a unit and tries it until it is done or its time is over.
 func (d *Dispatcher) repeat(ctx context.Context, u Unit, try func(i observer.Instance, after tracker.Position) (phraser.Answer, bool)) phraser.Answer {
 	var tried []string
@@ -141,10 +153,13 @@
 	for {
 		now := d.Clock.Now()
 		i, after, why := d.place(ctx, now, u, tried)
+		u.trace.placing += d.Clock.Now().Sub(now)
 		if why != "" {
 			return d.giveUp(now, u, tried, why+last)
 		}
 		a, done := try(i, after)
+		u.trace.attempts++
+		u.trace.last, u.trace.instance = a.Result.String(), i.ID
 		if done {
 			return a
 		}
@@ -165,6 +180,11 @@
 // admit takes a token of the organisation's rate, waiting a moment for it if need be.
 func (d *Dispatcher) admit(ctx context.Context, u Unit) (phraser.Answer, bool) {
 	longest := u.Route.Target / admitShare
+	if u.Route.Priority > urgent {
+		longest = u.Route.Target / admitShareLater
+	}
+	began := d.Clock.Now()
+	defer func() { u.trace.admission = d.Clock.Now().Sub(began) }()
 	d.Sharer.Ask(u.Organisation)
 	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, 0)
 	if !ok {
@@ -185,9 +205,16 @@
 	return phraser.Answer{}, true
 }
 
-// admitShare is the part of a route's target for which an operation waits for
-// its token; what remains is enough to be served in time.
-const admitShare = 2
+const (
+	// urgent is the largest priority number of what is urgent; 0 goes first.
+	urgent = 1
+	// admitShare is the part of a route's target for which an urgent operation
+	// waits for its token; what remains is enough to be served in time.
+	admitShare = 2
+	// admitShareLater is that part for all others, so that of an organisation at
+	// its limit the urgent operations find the tokens.
+	admitShareLater = 8
+)
 
 // pause waits and reports whether ctx is still alive.
 func pause(ctx context.Context, d time.Duration) bool {
@@ -205,11 +232,11 @@
 func (d *Dispatcher) giveUp(now time.Time, u Unit, tried []string, why string) phraser.Answer {
 	d.Sharer.Return(now, u.Organisation)
 	primary, term, known := d.Observer.Primary(u.Route.Group)
-	d.Journal.Request("refuse", u.Statement.ID, Field{"code", coder.QueueTimeout}, Field{"reason", why},
-		Field{"organisation", u.Organisation}, Field{"group", u.Route.Group}, Field{"route-kind", u.Route.Kind},
-		Field{"writes", u.Writes}, Field{"waited", now.Sub(u.Began)}, Field{"tried", tried},
-		Field{"primary", primary}, Field{"term", term}, Field{"primary-known", known},
-		Field{"confirmed-age", now.Sub(d.Observer.Confirmed(u.Route.Group))})
+	d.Journal.Request("refuse", u.Statement.ID, append([]Field{{"code", coder.QueueTimeout}, {"reason", why},
+		{"organisation", u.Organisation}, {"group", u.Route.Group}, {"route-kind", u.Route.Kind},
+		{"writes", u.Writes}, {"waited", now.Sub(u.Began)}, {"tried", tried},
+		{"primary", primary}, {"term", term}, {"primary-known", known},
+		{"confirmed-age", now.Sub(d.Observer.Confirmed(u.Route.Group))}}, u.trace.fields()...)...)
 	return refuse(phraser.Busy, coder.QueueTimeout, why)
 }
 
@@ -308,7 +335,12 @@
 	}
 	wait, cancel := context.WithTimeout(ctx, u.Route.Target/connectShare)
 	defer cancel()
+	began := d.Clock.Now()
 	link, err := pool.Acquire(wait, u.Organisation)
+	u.trace.linking += d.Clock.Now().Sub(began)
+	if link != nil && link.Fresh() {
+		u.trace.dialled++
+	}
 	if err == nil {
 		err = d.adopt(ctx, u, link)
 		if err == nil {
@@ -353,6 +385,9 @@
 	sent := d.Clock.Now()
 	a, err := link.Exchange(ctx, s)
 	now := d.Clock.Now()
+	if u.trace != nil {
+		u.trace.running += now.Sub(sent)
+	}
 	if err != nil {
 		d.Observer.Fail(now, i)
 		if commits(u, s.Kind) {
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -27,6 +27,8 @@
 
 // Open begins a transaction; without one the answer tells why.
 func (d *Dispatcher) Open(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
+	u.trace = &trace{}
+	defer d.noteSlow(u)
 	if a, ok := d.admit(ctx, u); !ok {
 		return nil, a
 	}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -26,6 +26,8 @@
 	Values map[string]string
 	// Session is the position of the last commit of the session; zero without one.
 	Session tracker.Position
+
+	trace *trace
 }
 
 // Definition is a prepared statement.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -204,6 +204,17 @@
 	}
 }
 
+// Limit returns the rate and burst of an organisation over the whole fleet.
+func (s *Sharer) Limit(organisation string) (limiter.Limit, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.accounts[organisation]
+	if a == nil {
+		return limiter.Limit{}, false
+	}
+	return a.whole, true
+}
+
 // Share returns this VM's part of the rate of an organisation, and the demand here.
 func (s *Sharer) Share(organisation string) (share, demand float64) {
 	s.mu.Lock()
