--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// sound waits for one round of questions to a group.
+func (d *Dispatcher) sound(ctx context.Context, group string) {
+	select {
+	case <-d.ask(group).done:
+	case <-ctx.Done():
+	}
+}
+
 // Ask asks the instances of a group what they are, without waiting for the answers.
 func (d *Dispatcher) Ask(group string) {
 	d.ask(group)
