--- a/connector/pool.go
+++ b/connector/pool.go
@@ -3,17 +3,19 @@
 // An instance takes a bounded number of connections from all VMs together and
 // each connection runs for one organisation only. A VM always may hold its
 // share; it opens more one by one, and steps back for longer each time that the
-// instance has no room, so that VMs in need do not flood the instance. Idle
-// connections of other organisations are given up first.
+// instance has no room, so that VMs in need do not flood the instance. Callers
+// wait in line; a connection that comes back goes to the first who can use it.
 package connector
 
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
@@ -27,8 +29,11 @@
 	fullMost  = 320 * time.Millisecond
 	// dialsAtOnce is the number of connections that are opened at a time.
 	dialsAtOnce = 2
-	// waitSlice is how long a caller waits before it looks again by itself.
-	waitSlice = 50 * time.Millisecond
+	// dialWithin bounds the opening of a connection, whoever still waits for it.
+	dialWithin = time.Second
+	// overtakenFor is how long the first in line lets others of the organisation
+	// of a returning connection go before it.
+	overtakenFor = 60 * time.Millisecond
 	// idleFor is how long an idle connection is kept.
 	idleFor = 15 * time.Second
 )
@@ -41,15 +46,17 @@
 	target Target
 	dialer Dialer
 	clock  clocker.Clock
+	dials  errgroup.Group
 
 	mu        sync.Mutex
 	bounds    Bounds
 	idle      []*Link
 	open      int
-	dialing   int
+	dialling  int
 	fullTimes int
 	fullUntil time.Time
-	waiting   []chan struct{}
+	retry     *time.Timer
+	line      []*waiter
 	closed    bool
 	opened    uint64
 }
@@ -66,105 +73,185 @@
 	p.bounds = b
 }
 
-// Open returns the number of connections held, and of those that were ever opened.
-func (p *Pool) Open() (open int, opened uint64) {
+// Stats returns how the pool stands.
+func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, p.opened
+	return Stats{Open: p.open, Idle: len(p.idle), Dialling: p.dialling, Waiting: len(p.line), Share: p.bounds.Share, FullTimes: p.fullTimes, Opened: p.opened}
 }
 
 // Acquire returns a connection that runs for an organisation.
 func (p *Pool) Acquire(ctx context.Context, organisation string) (*Link, error) {
-	return p.acquire(ctx, organisation, false)
+	return p.acquire(ctx, &waiter{organisation: organisation})
 }
 
 // Borrow returns a connection for a statement of the product, whoever it runs for.
 func (p *Pool) Borrow(ctx context.Context) (*Link, error) {
-	return p.acquire(ctx, "", true)
+	return p.acquire(ctx, &waiter{whoever: true})
 }
 
-// acquire returns an idle connection or opens one, waiting for room if need be.
-func (p *Pool) acquire(ctx context.Context, organisation string, whoever bool) (*Link, error) {
+// acquire returns an idle connection or waits in line for one.
+func (p *Pool) acquire(ctx context.Context, w *waiter) (*Link, error) {
+	now := p.clock.Now()
+	if link := p.takeIdle(w); link != nil {
+		return link, nil
+	}
+	w.since, w.result = now, make(chan result, 1)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrNoRoom
+	}
+	p.line = append(p.line, w)
+	p.pump(now)
+	p.mu.Unlock()
+	select {
+	case r := <-w.result:
+		return r.link, r.err
+	case <-ctx.Done():
+		return nil, p.leave(w)
+	}
+}
+
+// takeIdle returns an idle connection that the waiter can use and that is still open.
+func (p *Pool) takeIdle(w *waiter) *Link {
 	for {
-		link, may, retry := p.take(p.clock.Now(), organisation, whoever)
-		if link != nil {
-			if link.Alive() {
-				return link, nil
+		p.mu.Lock()
+		n := -1
+		for i := len(p.idle) - 1; i >= 0 && n < 0; i-- {
+			if w.takes(p.idle[i].Organisation) {
+				n = i
 			}
-			p.drop(link)
-			continue
 		}
-		if may {
-			link, err := p.dial(ctx, organisation)
-			if link != nil || !isFull(err) {
-				return link, err
-			}
-			continue
+		if n < 0 {
+			p.mu.Unlock()
+			return nil
 		}
-		if err := p.wait(ctx, retry); err != nil {
-			return nil, err
+		l := p.idle[n]
+		p.idle = slices.Delete(p.idle, n, n+1)
+		p.mu.Unlock()
+		if l.Alive() {
+			l.fresh = false
+			return l
 		}
+		p.mu.Lock()
+		p.discard(l)
+		p.mu.Unlock()
 	}
 }
 
-// take returns an idle connection, or whether a new one may be opened, or how long to wait.
-func (p *Pool) take(now time.Time, organisation string, whoever bool) (link *Link, may bool, retry time.Duration) {
+// leave takes a waiter out of the line. A connection that it was given meanwhile goes on.
+func (p *Pool) leave(w *waiter) error {
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if l := p.idle[i]; whoever || l.Organisation == organisation {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			l.fresh = false
-			return l, false, 0
+	p.line = slices.DeleteFunc(p.line, func(o *waiter) bool { return o == w })
+	select {
+	case r := <-w.result:
+		if r.link != nil {
+			p.pass(now, r.link)
 		}
+	default:
 	}
+	return ErrNoRoom
+}
+
+// pump opens connections for those in line, as far as the bounds allow. The lock is held.
+func (p *Pool) pump(now time.Time) {
+	for _, w := range p.line {
+		if w.dialling {
+			continue
+		}
+		if !p.mayDial(now) {
+			return
+		}
+		if p.open >= p.bounds.Share && len(p.idle) > 0 {
+			p.discard(p.idle[0])
+			p.idle = p.idle[1:]
+		}
+		p.open++
+		p.dialling++
+		w.dialling = true
+		p.dials.Go(func() error {
+			p.dial(w)
+			return nil
+		})
+	}
+}
+
+// mayDial reports whether a connection may be opened now. The lock is held.
+func (p *Pool) mayDial(now time.Time) bool {
 	if wait := p.fullUntil.Sub(now); wait > 0 {
-		return nil, false, min(wait, waitSlice)
+		p.pumpLater(wait)
+		return false
 	}
-	beyond := p.open >= p.bounds.Share
-	if p.dialing >= dialsAtOnce || (beyond && p.dialing > 0) || (p.open >= p.bounds.Most && len(p.idle) == 0) {
-		return nil, false, waitSlice
+	if p.dialling >= dialsAtOnce {
+		return false
 	}
-	if beyond && len(p.idle) > 0 {
-		p.evict()
+	if p.open < p.bounds.Share {
+		return true
 	}
-	p.open++
-	p.dialing++
-	return nil, true, 0
+	return p.dialling == 0 && (p.open < p.bounds.Most || len(p.idle) > 0)
 }
 
-// evict closes the connection that was idle for longest. The lock is held.
-func (p *Pool) evict() {
-	l := p.idle[0]
-	p.idle = p.idle[1:]
+// pumpLater looks at the line again after a time. The lock is held.
+func (p *Pool) pumpLater(wait time.Duration) {
+	if p.retry != nil {
+		return
+	}
+	p.retry = time.AfterFunc(wait, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.retry = nil
+		p.pump(p.clock.Now())
+	})
+}
+
+// discard closes a connection that was counted. The lock is held.
+func (p *Pool) discard(l *Link) {
 	p.open--
+	// The instance notices by itself that the connection is gone.
 	_ = l.Close()
 }
 
-// dial opens a connection for which take has made room.
-func (p *Pool) dial(ctx context.Context, organisation string) (*Link, error) {
-	conn, err := p.dialer.Dial(ctx, p.target, organisation)
+// dial opens a connection on behalf of a waiter, who may have left meanwhile.
+func (p *Pool) dial(w *waiter) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialWithin)
+	defer cancel()
+	conn, err := p.dialer.Dial(ctx, p.target, w.organisation)
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dialing--
-	if err == nil && p.closed {
-		_ = conn.Close()
-		err = ErrNoRoom
+	p.dialling--
+	w.dialling = false
+	if err != nil {
+		p.open--
+		p.failed(now, w, err)
+		return
 	}
-	if err == nil {
-		p.opened++
-		p.fullTimes = 0
-		p.wake()
-		return &Link{Conn: conn, Organisation: organisation, pool: p, fresh: true,
-			values: map[string]string{}, prepared: map[string]bool{}}, nil
+	p.opened++
+	p.fullTimes = 0
+	l := &Link{Conn: conn, Organisation: w.organisation, pool: p, fresh: true, values: map[string]string{}, prepared: map[string]bool{}}
+	if n := slices.Index(p.line, w); n >= 0 {
+		p.line = slices.Delete(p.line, n, n+1)
+		w.result <- result{link: l}
+		p.pump(now)
+		return
 	}
-	p.open--
+	p.pass(now, l)
+}
+
+// failed tells a waiter that its connection could not be opened. Without room
+// it stays in line. The lock is held.
+func (p *Pool) failed(now time.Time, w *waiter, err error) {
 	if isFull(err) {
-		p.fullUntil = p.clock.Now().Add(min(fullFirst<<min(p.fullTimes, 8), fullMost))
+		p.fullUntil = now.Add(min(fullFirst<<min(p.fullTimes, 8), fullMost))
 		p.fullTimes++
+	} else if n := slices.Index(p.line, w); n >= 0 {
+		p.line = slices.Delete(p.line, n, n+1)
+		w.result <- result{err: err}
 	}
-	p.wake()
-	return nil, err
+	p.pump(now)
 }
 
 // isFull reports whether an instance has no room for a connection.
@@ -173,68 +260,47 @@
 	return errors.As(err, &r) && r.Result == phraser.Full
 }
 
-// wait waits for a connection to come back, at most for retry.
-func (p *Pool) wait(ctx context.Context, retry time.Duration) error {
-	ch := make(chan struct{})
-	p.mu.Lock()
-	p.waiting = append(p.waiting, ch)
-	p.mu.Unlock()
-	timer := time.NewTimer(retry)
-	defer timer.Stop()
-	select {
-	case <-ch:
-		return nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+// release takes a connection back.
+func (p *Pool) release(now time.Time, l *Link, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range p.waiting {
-		if w == ch {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			break
-		}
-	}
-	if ctx.Err() != nil {
-		select {
-		case <-ch:
-			p.wake()
-		default:
-		}
-		return ErrNoRoom
+	if !reusable || p.closed {
+		p.discard(l)
+		p.pump(now)
+		return
 	}
-	return nil
+	p.pass(now, l)
 }
 
-// wake lets the first waiter try again. The lock is held.
-func (p *Pool) wake() {
-	if len(p.waiting) == 0 {
+// pass gives a connection to the first in line who can use it. The lock is held.
+func (p *Pool) pass(now time.Time, l *Link) {
+	l.fresh = false
+	if n := p.next(now, l.Organisation); n >= 0 {
+		w := p.line[n]
+		p.line = slices.Delete(p.line, n, n+1)
+		w.result <- result{link: l}
 		return
 	}
-	close(p.waiting[0])
-	p.waiting = p.waiting[1:]
-}
-
-// release takes a connection back.
-func (p *Pool) release(now time.Time, l *Link, reusable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	defer p.wake()
-	if !reusable || p.closed || (p.open > p.bounds.Share && len(p.waiting) == 0) {
-		p.open--
-		_ = l.Close()
+	if len(p.line) > 0 || p.open > p.bounds.Share || p.closed {
+		p.discard(l)
+		p.pump(now)
 		return
 	}
 	l.idleFrom = now
 	p.idle = append(p.idle, l)
 }
 
-// drop closes a connection that the instance has closed.
-func (p *Pool) drop(l *Link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open--
-	_ = l.Close()
+// next returns who in line gets a connection of an organisation, or -1. The
+// first in line is overtaken for a moment only. The lock is held.
+func (p *Pool) next(now time.Time, organisation string) int {
+	if len(p.line) == 0 {
+		return -1
+	}
+	first := p.line[0]
+	if !first.takes(organisation) && !first.dialling && now.Sub(first.since) > overtakenFor {
+		return -1
+	}
+	return slices.IndexFunc(p.line, func(w *waiter) bool { return w.takes(organisation) })
 }
 
 // Sweep closes connections that have been idle for long.
@@ -242,7 +308,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 && now.Sub(p.idle[0].idleFrom) > idleFor {
-		p.evict()
+		p.discard(p.idle[0])
+		p.idle = p.idle[1:]
 	}
 }
 
@@ -251,7 +318,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for len(p.idle) > 0 {
-		p.evict()
+	for _, l := range p.idle {
+		p.discard(l)
+	}
+	p.idle = nil
+	for _, w := range p.line {
+		w.result <- result{err: ErrNoRoom}
 	}
+	p.line = nil
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -83,9 +83,13 @@
 	if most == 0 {
 		most = defaultConnections
 	}
-	return connector.Bounds{Share: max(1, most/d.vms), Most: most}
+	share := max(1, most/d.vms)
+	return connector.Bounds{Share: share, Most: min(most, share*mostShares)}
 }
 
+// mostShares bounds what a VM takes beyond its share while others leave theirs.
+const mostShares = 2
+
 // defaultConnections is assumed of a group before its configuration is known.
 const defaultConnections = 8
 
@@ -103,9 +107,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
-		o, n := p.Open()
-		open += o
-		opened += n
+		st := p.Stats()
+		open += st.Open
+		opened += st.Opened
 	}
 	return open, opened
 }
@@ -355,6 +359,9 @@
 	}
 	if errors.Is(err, connector.ErrNoRoom) {
 		d.Observer.Abandon(i)
+		st := pool.Stats()
+		d.Journal.Request("no-connection", u.Statement.ID, Field{"instance", i.ID}, Field{"group", i.Group}, Field{"open", st.Open}, Field{"idle", st.Idle},
+			Field{"dialling", st.Dialling}, Field{"waiting", st.Waiting}, Field{"share", st.Share}, Field{"full-times", st.FullTimes})
 		return nil, phraser.Refuse(phraser.Full, err.Error()), nil
 	}
 	d.Observer.Fail(d.Clock.Now(), i)
