perf: urgent units first in line; a VM may take all connections that are left

Change: the line is ordered by the priority of the route; beyond its share a VM is bounded by the instance only, as callers are spread unevenly over the VMs.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -84,12 +84,13 @@
 	return Stats{Open: p.open, Idle: len(p.idle), Dialling: p.dialling, Waiting: len(p.line), Share: p.bounds.Share, FullTimes: p.fullTimes, Opened: p.opened}
 }
 
-// Acquire returns a connection that runs for an organisation. It fails at once
-// when the line is so long that none can be expected within a time.
-func (p *Pool) Acquire(ctx context.Context, organisation string, within time.Duration) (*Link, error) {
+// Acquire returns a connection that runs for an organisation. Those of a lower
+// priority number go first in line. It fails at once when the line is so long
+// that no connection can be expected within a time.
+func (p *Pool) Acquire(ctx context.Context, organisation string, priority int, within time.Duration) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	return p.acquire(ctx, &waiter{organisation: organisation, within: within})
+	return p.acquire(ctx, &waiter{organisation: organisation, priority: priority, within: within})
 }
 
 // Borrow returns a connection for a statement of the product, whoever it runs for.
@@ -105,11 +106,12 @@
 	}
 	w.since, w.result = now, make(chan result, 1)
 	p.mu.Lock()
-	if p.closed || (w.within > 0 && p.wait() > w.within) {
+	place := p.place(w)
+	if p.closed || (w.within > 0 && p.wait(place) > w.within) {
 		p.mu.Unlock()
 		return nil, ErrNoRoom
 	}
-	p.line = append(p.line, w)
+	p.line = slices.Insert(p.line, place, w)
 	p.pump(now)
 	p.mu.Unlock()
 	select {
@@ -120,12 +122,21 @@
 	}
 }
 
-// wait estimates how long a caller would stand in line. The lock is held.
-func (p *Pool) wait() time.Duration {
+// place returns where in line a waiter goes. The lock is held.
+func (p *Pool) place(w *waiter) int {
+	n := len(p.line)
+	for n > 0 && p.line[n-1].priority > w.priority {
+		n--
+	}
+	return n
+}
+
+// wait estimates how long a caller at a place would stand in line. The lock is held.
+func (p *Pool) wait(place int) time.Duration {
 	if p.open < p.bounds.Share {
 		return 0
 	}
-	return p.held * time.Duration(len(p.line)) / time.Duration(max(p.open, 1))
+	return p.held * time.Duration(place) / time.Duration(max(p.open, 1))
 }
 
 // takeIdle returns an idle connection that the waiter can use and that is still open.
--- a/connector/waiter.go
+++ b/connector/waiter.go
@@ -8,6 +8,8 @@
 	// whoever reports that a connection of any organisation will do.
 	whoever bool
 	since   time.Time
+	// priority orders the line; 0 goes first.
+	priority int
 	// within is the time in which it needs the connection; 0 sets no bound.
 	within time.Duration
 	// dialling reports that a connection is being opened on its behalf.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -84,12 +84,9 @@
 		most = defaultConnections
 	}
 	share := max(1, most/d.vms)
-	return connector.Bounds{Share: share, Most: min(most, share*mostShares)}
+	return connector.Bounds{Share: share, Most: most}
 }
 
-// mostShares bounds what a VM takes beyond its share while others leave theirs.
-const mostShares = 2
-
 // defaultConnections is assumed of a group before its configuration is known.
 const defaultConnections = 8
 
@@ -346,7 +343,7 @@
 		return nil, phraser.Refuse(phraser.Moved, "the instance is gone"), nil
 	}
 	began := d.Clock.Now()
-	link, err := pool.Acquire(ctx, u.Organisation, u.Route.Target/connectShare)
+	link, err := pool.Acquire(ctx, u.Organisation, u.Route.Priority, u.Route.Target/connectShare)
 	u.trace.linking += d.Clock.Now().Sub(began)
 	if link != nil && link.Fresh() {
 		u.trace.dialled++
