--- a/assembler/following.go
+++ b/assembler/following.go
@@ -10,10 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/follower"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
@@ -58,7 +59,7 @@
 		return
 	}
 	if !p.State.storeLost.Swap(true) {
-		p.Journal.Belief("store-lost", dispatcher.Field{Name: "error", Value: err.Error()})
+		p.Journal.Belief("store-lost", journaler.Err(err))
 	}
 }
 
@@ -88,15 +89,15 @@
 func (p *Proxy) takeCatalogue(raw []byte, source string) {
 	c, err := p.Parts.Adapter.Catalogue(raw)
 	if err != nil {
-		p.Journal.Belief("configuration-refused", dispatcher.Field{Name: "error", Value: err.Error()}, dispatcher.Field{Name: "source", Value: source})
+		p.Journal.Belief("configuration-refused", journaler.Err(err), journaler.Source(source))
 		return
 	}
 	if !p.Catalogue.Take(c, raw) {
 		return
 	}
 	p.shape(c)
-	p.Journal.Belief("configuration-taken", dispatcher.Field{Name: "version", Value: c.Version}, dispatcher.Field{Name: "routes", Value: c.Databases()},
-		dispatcher.Field{Name: "organisations", Value: len(c.Organisations)}, dispatcher.Field{Name: "source", Value: source})
+	p.Journal.Belief("configuration-taken", journaler.Version(c.Version), journaler.F("routes", c.Databases()),
+		journaler.F("organisations", len(c.Organisations)), journaler.Source(source))
 }
 
 // shape tells the parts what the configuration says.
@@ -105,8 +106,8 @@
 	for name, o := range c.Organisations {
 		limits[name] = o.Limit
 		if old, ok := p.Sharer.Limit(name); ok && old != o.Limit {
-			p.Journal.Belief("limit-changed", dispatcher.Field{Name: "organisation", Value: name}, dispatcher.Field{Name: "rate", Value: o.Limit.Rate},
-				dispatcher.Field{Name: "burst", Value: o.Limit.Burst}, dispatcher.Field{Name: "rate-before", Value: old.Rate}, dispatcher.Field{Name: "version", Value: c.Version})
+			p.Journal.Belief("limit-changed", journaler.Organisation(name), journaler.F("rate", o.Limit.Rate),
+				journaler.F("burst", o.Limit.Burst), journaler.F("rate-before", old.Rate), journaler.Version(c.Version))
 		}
 	}
 	now := p.Parts.Clock.Now()
@@ -121,7 +122,7 @@
 		for _, o := range objects {
 			i, err := p.Parts.Adapter.Instance(o)
 			if err != nil {
-				p.Journal.Belief("instance-passed-over", dispatcher.Field{Name: "key", Value: o.Key}, dispatcher.Field{Name: "error", Value: err.Error()})
+				p.Journal.Belief("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
 				continue
 			}
 			list = append(list, i)
@@ -153,8 +154,8 @@
 
 // noteInstance records a change of the platform's list.
 func (p *Proxy) noteInstance(decision string, i observer.Instance) {
-	p.Journal.Belief(decision, dispatcher.Field{Name: "instance", Value: i.ID}, dispatcher.Field{Name: "group", Value: i.Group},
-		dispatcher.Field{Name: "address", Value: i.Address}, dispatcher.Field{Name: "leads", Value: i.Leads}, dispatcher.Field{Name: "leaving", Value: i.Leaving})
+	p.Journal.Belief(decision, journaler.Instance(i.ID), journaler.Group(i.Group),
+		journaler.F("address", i.Address), journaler.F("leads", i.Leads), journaler.F("leaving", i.Leaving))
 }
 
 // registration is a VM's entry in the store.
@@ -217,7 +218,7 @@
 	for _, o := range page.Objects {
 		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil || !r.Peers.IsValid() {
-			p.Journal.Belief("registration-passed-over", dispatcher.Field{Name: "key", Value: o.Key})
+			p.Journal.Belief("registration-passed-over", journaler.F("key", o.Key))
 			continue
 		}
 		if r.Peers != p.Parts.Settings.Listen.Peers {
@@ -251,7 +252,7 @@
 			continue
 		}
 		if err := p.fetch(ctx, ahead); err != nil {
-			p.Journal.Belief("catch-up-failed", dispatcher.Field{Name: "from", Value: ahead.Name}, dispatcher.Field{Name: "error", Value: err.Error()})
+			p.Journal.Belief("catch-up-failed", journaler.F("from", ahead.Name), journaler.Err(err))
 		}
 	}
 }
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -99,8 +99,8 @@
 func (n *news) hear(now time.Time, m gossiper.Message) {
 	for _, g := range m.Groups {
 		if n.Observer.Lead(now, g.Group, g.Primary, g.Term) {
-			n.Journal.Belief("primary-changed", dispatcher.Field{Name: "group", Value: g.Group}, dispatcher.Field{Name: "primary", Value: g.Primary},
-				dispatcher.Field{Name: "term", Value: g.Term}, dispatcher.Field{Name: "source", Value: m.Name})
+			n.Journal.Belief("primary-changed", journaler.Group(g.Group), journaler.Primary(g.Primary),
+				journaler.Term(g.Term), journaler.Source(m.Name))
 		}
 		if g.Opened {
 			n.Observer.Open(g.Group, g.Term)
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -72,8 +72,8 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	p.Journal.Belief("started", dispatcher.Field{Name: "vm", Value: s.VM.ID}, dispatcher.Field{Name: "incarnation", Value: p.State.incarnation},
-		dispatcher.Field{Name: "availability-zone", Value: s.VM.AvailabilityZone}, dispatcher.Field{Name: "callers", Value: s.Listen.Callers})
+	p.Journal.Belief("started", journaler.F("vm", s.VM.ID), journaler.F("incarnation", p.State.incarnation),
+		journaler.F("availability-zone", s.VM.AvailabilityZone), journaler.F("callers", s.Listen.Callers))
 	for _, duty := range p.duties() {
 		group.Go(func() error { return duty(running) })
 	}
@@ -122,9 +122,9 @@
 
 // leave drains the process.
 func (p *Proxy) leave(ctx context.Context) {
-	p.Journal.Belief("leaving", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+	p.Journal.Belief("leaving", journaler.F("sessions", p.Sessions.Sessions()))
 	p.Sessions.Drain(ctx)
-	p.Journal.Belief("stopped", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+	p.Journal.Belief("stopped", journaler.F("sessions", p.Sessions.Sessions()))
 }
 
 // ready reports whether the VM takes callers.
@@ -140,13 +140,13 @@
 			return nil
 		}
 		if err != nil {
-			p.Journal.Belief("accept-failed", dispatcher.Field{Name: "error", Value: err.Error()})
+			p.Journal.Belief("accept-failed", journaler.Err(err))
 			// Out of descriptors, most likely: some will be free again soon.
 			time.Sleep(acceptPause)
 			continue
 		}
 		if p.Sessions.Sessions() >= p.mostSessions() {
-			p.Journal.Belief("caller-turned-away", dispatcher.Field{Name: "sessions", Value: p.Sessions.Sessions()})
+			p.Journal.Belief("caller-turned-away", journaler.F("sessions", p.Sessions.Sessions()))
 			_ = c.Close()
 			continue
 		}
--- a/assembler/reloading.go
+++ b/assembler/reloading.go
@@ -5,7 +5,8 @@
 	"reflect"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/marigoldgauge/marigoldgauge/loader"
 )
 
@@ -29,12 +30,12 @@
 		next, err := p.Parts.Load()
 		switch {
 		case err != nil:
-			p.Journal.Belief("settings-refused", dispatcher.Field{Name: "error", Value: err.Error()}, dispatcher.Field{Name: "signalled", Value: signalled})
+			p.Journal.Belief("settings-refused", journaler.Err(err), journaler.F("signalled", signalled))
 		case !reflect.DeepEqual(next, current):
 			p.apply(current, next, signalled)
 			current = next
 		case signalled:
-			p.Journal.Belief("settings-reloaded", dispatcher.Field{Name: "signalled", Value: true}, dispatcher.Field{Name: "changed", Value: false})
+			p.Journal.Belief("settings-reloaded", journaler.F("signalled", true), journaler.F("changed", false))
 		}
 	}
 }
@@ -43,6 +44,6 @@
 func (p *Proxy) apply(old, next loader.Hosted, signalled bool) {
 	p.Sessions.SetGrace(next.Grace)
 	fixed := !reflect.DeepEqual(old.VM, next.VM) || old.Listen != next.Listen || old.Platform != next.Platform || old.Log != next.Log
-	p.Journal.Belief("settings-reloaded", dispatcher.Field{Name: "signalled", Value: signalled}, dispatcher.Field{Name: "changed", Value: true},
-		dispatcher.Field{Name: "needs-restart", Value: fixed})
+	p.Journal.Belief("settings-reloaded", journaler.F("signalled", signalled), journaler.F("changed", true),
+		journaler.F("needs-restart", fixed))
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
@@ -143,8 +145,8 @@
 	if took <= u.Route.Target {
 		return
 	}
-	d.Journal.Request("slow", u.Statement.ID, append([]Field{{"took", took}, {"group", u.Route.Group}, {"route-kind", u.Route.Kind},
-		{"writes", u.Writes}, {"organisation", u.Organisation}}, u.trace.fields()...)...)
+	d.Journal.Request("slow", u.Statement.ID, append([]journaler.Field{journaler.F("took", took), journaler.Group(u.Route.Group), journaler.F("route-kind", u.Route.Kind),
+		journaler.F("writes", u.Writes), journaler.Organisation(u.Organisation)}, u.trace.fields()...)...)
 }
 
 // repeat places a unit and tries it until it is done or its time is over.
@@ -204,8 +206,8 @@
 	}
 	if !ok {
 		share, demand := d.Sharer.Share(u.Organisation)
-		d.Journal.Request("refuse", u.Statement.ID, Field{"code", coder.OverRate}, Field{"organisation", u.Organisation},
-			Field{"share", share}, Field{"demand", demand}, Field{"retry-after", wait})
+		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation),
+			journaler.F("share", share), journaler.F("demand", demand), journaler.F("retry-after", wait))
 		return refuse(phraser.Busy, coder.OverRate, "over the rate, retry after "+wait.Round(time.Millisecond).String()), false
 	}
 	if wait > 0 {
@@ -241,11 +243,11 @@
 func (d *Dispatcher) giveUp(now time.Time, u Unit, tried []string, why string) phraser.Answer {
 	d.Sharer.Return(now, u.Organisation)
 	primary, term, known := d.Observer.Primary(u.Route.Group)
-	d.Journal.Request("refuse", u.Statement.ID, append([]Field{{"code", coder.QueueTimeout}, {"reason", why},
-		{"organisation", u.Organisation}, {"group", u.Route.Group}, {"route-kind", u.Route.Kind},
-		{"writes", u.Writes}, {"waited", now.Sub(u.Began)}, {"tried", tried},
-		{"primary", primary}, {"term", term}, {"primary-known", known},
-		{"confirmed-age", now.Sub(d.Observer.Confirmed(u.Route.Group))}}, u.trace.fields()...)...)
+	d.Journal.Request("refuse", u.Statement.ID, append([]journaler.Field{journaler.Code(coder.QueueTimeout), journaler.Reason(why),
+		journaler.Organisation(u.Organisation), journaler.Group(u.Route.Group), journaler.F("route-kind", u.Route.Kind),
+		journaler.F("writes", u.Writes), journaler.F("waited", now.Sub(u.Began)), journaler.F("tried", tried),
+		journaler.Primary(primary), journaler.Term(term), journaler.F("primary-known", known),
+		journaler.F("confirmed-age", now.Sub(d.Observer.Confirmed(u.Route.Group)))}, u.trace.fields()...)...)
 	return refuse(phraser.Busy, coder.QueueTimeout, why)
 }
 
@@ -325,22 +327,22 @@
 // open gets a connection and runs the statement on it; link is nil when it was not sent.
 func (d *Dispatcher) open(ctx context.Context, u Unit, i observer.Instance, after tracker.Position) (*connector.Link, phraser.Answer, error) {
 	d.Observer.Begin(i)
-	link, a, err := d.link(ctx, u, i)
-	if link == nil || err != nil {
-		return link, a, err
+	link, a := d.link(ctx, u, i)
+	if link == nil {
+		return nil, a, nil
 	}
 	s := u.Statement
 	s.After = after
-	a, err = d.exchange(ctx, u, i, link, s)
+	a, err := d.exchange(ctx, u, i, link, s)
 	return link, a, err
 }
 
 // link gets a connection that carries the caller's session.
-func (d *Dispatcher) link(ctx context.Context, u Unit, i observer.Instance) (*connector.Link, phraser.Answer, error) {
+func (d *Dispatcher) link(ctx context.Context, u Unit, i observer.Instance) (*connector.Link, phraser.Answer) {
 	pool := d.pool(i.ID)
 	if pool == nil {
 		d.Observer.Abandon(i)
-		return nil, phraser.Refuse(phraser.Moved, "the instance is gone"), nil
+		return nil, phraser.Refuse(phraser.Moved, "the instance is gone")
 	}
 	began := d.Clock.Now()
 	link, err := pool.Acquire(ctx, u.Organisation, u.Route.Priority, u.Route.Target/connectShare)
@@ -351,25 +353,25 @@
 	if err == nil {
 		err = d.adopt(ctx, u, link)
 		if err == nil {
-			return link, phraser.Answer{}, nil
+			return link, phraser.Answer{}
 		}
 		link.Release(d.Clock.Now(), false)
 	}
 	var refusal *connector.Refusal
 	if errors.As(err, &refusal) {
 		d.Observer.End(d.Clock.Now(), d.Clock.Now(), i, phraser.Answer{Result: refusal.Result})
-		return nil, phraser.Refuse(refusal.Result, refusal.Detail), nil
+		return nil, phraser.Refuse(refusal.Result, refusal.Detail)
 	}
 	if errors.Is(err, connector.ErrNoRoom) {
 		d.Observer.Abandon(i)
 		st := pool.Stats()
-		d.Journal.Request("no-connection", u.Statement.ID, Field{"instance", i.ID}, Field{"group", i.Group}, Field{"open", st.Open}, Field{"idle", st.Idle},
-			Field{"dialling", st.Dialling}, Field{"waiting", st.Waiting}, Field{"share", st.Share}, Field{"full-times", st.FullTimes})
-		return nil, phraser.Refuse(phraser.Full, err.Error()), nil
+		d.Journal.Request("no-connection", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("open", st.Open), journaler.F("idle", st.Idle),
+			journaler.F("dialling", st.Dialling), journaler.F("waiting", st.Waiting), journaler.F("share", st.Share), journaler.F("full-times", st.FullTimes))
+		return nil, phraser.Refuse(phraser.Full, err.Error())
 	}
 	d.Observer.Fail(d.Clock.Now(), i)
-	d.Journal.Request("instance-failed", u.Statement.ID, Field{"instance", i.ID}, Field{"group", i.Group}, Field{"error", err.Error()})
-	return nil, phraser.Refuse(phraser.Busy, err.Error()), nil
+	d.Journal.Request("instance-failed", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.Err(err))
+	return nil, phraser.Refuse(phraser.Busy, err.Error())
 }
 
 // connectShare is the part of a route's target within which a connection must
@@ -403,8 +405,8 @@
 		if commits(u, s.Kind) {
 			d.Observer.Stuck(sent, i)
 		}
-		d.Journal.Request("exchange-broken", u.Statement.ID, Field{"instance", i.ID}, Field{"group", i.Group},
-			Field{"kind", s.Kind}, Field{"after", now.Sub(sent)}, Field{"error", err.Error()})
+		d.Journal.Request("exchange-broken", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group),
+			journaler.F("kind", s.Kind), journaler.F("after", now.Sub(sent)), journaler.Err(err))
 		return a, err
 	}
 	d.Observer.End(now, sent, i, a)
@@ -432,7 +434,7 @@
 // judge decides what an attempt means for the caller.
 func (d *Dispatcher) judge(u Unit, i observer.Instance, a phraser.Answer, err error, sent, confirmed bool) (phraser.Answer, bool) {
 	if err != nil && u.Writes && sent {
-		d.Journal.Request("in-doubt", u.Statement.ID, Field{"code", coder.OutcomeUnknown}, Field{"instance", i.ID}, Field{"error", err.Error()})
+		d.Journal.Request("in-doubt", u.Statement.ID, journaler.Code(coder.OutcomeUnknown), journaler.Instance(i.ID), journaler.Err(err))
 		return refuse(phraser.InDoubt, coder.OutcomeUnknown, "the instance did not answer"), true
 	}
 	if err != nil {
@@ -447,6 +449,6 @@
 	if a.Result.DidNotRun() {
 		return a, false
 	}
-	d.Journal.Request("failed", u.Statement.ID, Field{"result", a.Result}, Field{"instance", i.ID}, Field{"detail", a.Detail})
+	d.Journal.Request("failed", u.Statement.ID, journaler.F("result", a.Result), journaler.Instance(i.ID), journaler.F("detail", a.Detail))
 	return a, true
 }
--- a/dispatcher/trace.go
+++ b/dispatcher/trace.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+)
 
 // trace is what became of one unit so far. It is written only when the unit
 // fails or is slow, so that a usual request costs no line.
@@ -16,12 +20,12 @@
 }
 
 // fields returns the trace as inputs of a decision.
-func (t *trace) fields() []Field {
+func (t *trace) fields() []journaler.Field {
 	if t == nil {
 		return nil
 	}
-	return []Field{
-		{"admission", t.admission}, {"placing", t.placing}, {"linking", t.linking}, {"running", t.running},
-		{"dialled", t.dialled}, {"attempts", t.attempts}, {"last", t.last}, {"instance", t.instance},
+	return []journaler.Field{
+		journaler.F("admission", t.admission), journaler.F("placing", t.placing), journaler.F("linking", t.linking), journaler.F("running", t.running),
+		journaler.F("dialled", t.dialled), journaler.F("attempts", t.attempts), journaler.F("last", t.last), journaler.Instance(t.instance),
 	}
 }
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/observer"
@@ -114,7 +116,7 @@
 		return a
 	}
 	if t.wrote {
-		t.d.Journal.Request("in-doubt", u.Statement.ID, Field{"code", coder.OutcomeUnknown}, Field{"instance", t.at.ID}, Field{"error", err.Error()})
+		t.d.Journal.Request("in-doubt", u.Statement.ID, journaler.Code(coder.OutcomeUnknown), journaler.Instance(t.at.ID), journaler.Err(err))
 		return refuse(phraser.InDoubt, coder.OutcomeUnknown, "the instance did not answer the commit")
 	}
 	a = t.aborted(u, err.Error())
@@ -139,8 +141,8 @@
 
 // aborted is the answer of a transaction of which nothing is kept.
 func (t *Transaction) aborted(u Unit, why string) phraser.Answer {
-	t.d.Journal.Request("abort", u.Statement.ID, Field{"code", coder.QueueTimeout}, Field{"instance", t.at.ID},
-		Field{"group", t.at.Group}, Field{"reason", why}, Field{"kind", u.Statement.Kind})
+	t.d.Journal.Request("abort", u.Statement.ID, journaler.Code(coder.QueueTimeout), journaler.Instance(t.at.ID),
+		journaler.Group(t.at.Group), journaler.Reason(why), journaler.F("kind", u.Statement.Kind))
 	a := refuse(phraser.Aborted, coder.QueueTimeout, why)
 	a.State = phraser.Broken
 	return a
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -16,7 +16,6 @@
 	"github.com/apex/log"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 )
 
@@ -35,7 +34,7 @@
 type line struct {
 	at       time.Time
 	decision string
-	fields   []dispatcher.Field
+	fields   []Field
 }
 
 // Journaler writes decisions. It is safe for concurrent use.
@@ -56,17 +55,17 @@
 }
 
 // Request records a decision about the request id.
-func (j *Journaler) Request(decision, id string, fields ...dispatcher.Field) {
-	j.record(decision, append([]dispatcher.Field{{Name: "request", Value: id}}, fields...))
+func (j *Journaler) Request(decision, id string, fields ...Field) {
+	j.record(decision, append([]Field{F("request", id)}, fields...))
 }
 
 // Belief records a decision that changes what the process takes for true.
-func (j *Journaler) Belief(decision string, fields ...dispatcher.Field) {
+func (j *Journaler) Belief(decision string, fields ...Field) {
 	j.record(decision, fields)
 }
 
 // record puts a line into the ring unless its kind is over its budget.
-func (j *Journaler) record(decision string, fields []dispatcher.Field) {
+func (j *Journaler) record(decision string, fields []Field) {
 	now := j.clock.Now()
 	j.mu.Lock()
 	b := j.budgets[decision]
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -10,6 +10,8 @@
 	"errors"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
@@ -137,9 +139,9 @@
 
 // rest rolls back the transaction of a caller that rests for too long.
 func (s *session) rest() {
-	s.server.Journal.Request("abort", "", dispatcher.Field{Name: "code", Value: coder.QueueTimeout},
-		dispatcher.Field{Name: "reason", Value: "the transaction rested for too long"},
-		dispatcher.Field{Name: "database", Value: s.database}, dispatcher.Field{Name: "organisation", Value: s.unit.Organisation})
+	s.server.Journal.Request("abort", "", journaler.Code(coder.QueueTimeout),
+		journaler.Reason("the transaction rested for too long"),
+		journaler.F("database", s.database), journaler.Organisation(s.unit.Organisation))
 	s.abandon(context.Background())
 	s.pending, s.broken = nil, true
 }
@@ -175,9 +177,9 @@
 	if c := s.server.Catalogue.Current(); c != nil {
 		version = c.Version
 	}
-	s.server.Journal.Request("refuse", "", dispatcher.Field{Name: "code", Value: code}, dispatcher.Field{Name: "database", Value: s.database},
-		dispatcher.Field{Name: "reason", Value: why}, dispatcher.Field{Name: "version", Value: version},
-		dispatcher.Field{Name: "caller", Value: s.caller.Remote()})
+	s.server.Journal.Request("refuse", "", journaler.Code(code), journaler.F("database", s.database),
+		journaler.Reason(why), journaler.Version(version),
+		journaler.F("caller", s.caller.Remote()))
 	return phraser.Refuse(r, code.String()+" "+why)
 }
 
--- a/switcher/inspect.go
+++ b/switcher/inspect.go
@@ -4,9 +4,10 @@
 	"context"
 	"sync"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"golang.org/x/sync/errgroup"
 
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 )
@@ -22,8 +23,8 @@
 			asked := s.Clock.Now()
 			status, err := s.Controller.Control(ctx, i, st)
 			if err != nil {
-				s.Journal.Belief("instance-silent", dispatcher.Field{Name: "instance", Value: i.ID}, dispatcher.Field{Name: "group", Value: i.Group},
-					dispatcher.Field{Name: "statement", Value: st.Kind}, dispatcher.Field{Name: "error", Value: err.Error()})
+				s.Journal.Belief("instance-silent", journaler.Instance(i.ID), journaler.Group(i.Group),
+					journaler.F("statement", st.Kind), journaler.Err(err))
 				return nil
 			}
 			mu.Lock()
@@ -41,8 +42,8 @@
 
 // announce tells of a new primary.
 func (s *Switcher) announce(i observer.Instance, st phraser.InstanceStatus) {
-	s.Journal.Belief("primary-changed", dispatcher.Field{Name: "group", Value: i.Group}, dispatcher.Field{Name: "primary", Value: i.ID},
-		dispatcher.Field{Name: "term", Value: st.Term}, dispatcher.Field{Name: "position", Value: st.Received}, dispatcher.Field{Name: "source", Value: "status"})
+	s.Journal.Belief("primary-changed", journaler.Group(i.Group), journaler.Primary(i.ID),
+		journaler.Term(st.Term), journaler.F("position", st.Received), journaler.Source("status"))
 	s.Fleet.Hurry()
 }
 
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -4,8 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/observer"
@@ -48,7 +49,7 @@
 // Journal takes the decisions.
 type Journal interface {
 	// Belief records a decision that changes what the process takes for true.
-	Belief(decision string, fields ...dispatcher.Field)
+	Belief(decision string, fields ...journaler.Field)
 }
 
 // Parts are what a Switcher is built from.
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -4,9 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"github.com/rotisserie/eris"
 
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
@@ -48,8 +49,8 @@
 		return eris.Wrap(err, "taking the duty")
 	}
 	written, record := s.Clock.Now(), s.Lease.Known()
-	s.Journal.Belief("replacement-begun", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "verdict", Value: v},
-		dispatcher.Field{Name: "former", Value: formerID}, dispatcher.Field{Name: "term", Value: term}, dispatcher.Field{Name: "token", Value: grant.Token})
+	s.Journal.Belief("replacement-begun", journaler.Group(group), journaler.F("verdict", v),
+		journaler.F("former", formerID), journaler.Term(term), journaler.F("token", grant.Token))
 	announced := make(chan struct{})
 	s.group.Go(func() error {
 		defer close(announced)
@@ -79,7 +80,7 @@
 		}
 	})
 	if err != nil {
-		s.Journal.Belief("withdrawal-failed", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "error", Value: err.Error()})
+		s.Journal.Belief("withdrawal-failed", journaler.Group(group), journaler.Err(err))
 	}
 }
 
@@ -91,10 +92,10 @@
 	}
 	s.Observer.Open(group, term)
 	s.Fleet.Hurry()
-	s.Journal.Belief("primary-opened", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "primary", Value: primary}, dispatcher.Field{Name: "term", Value: term})
+	s.Journal.Belief("primary-opened", journaler.Group(group), journaler.Primary(primary), journaler.Term(term))
 	if _, err := s.Lease.Acquire(ctx, func(r *leaser.Record) { r.Opened[group] = term }); err != nil {
 		// Processes that start later wait until nobody can hold an old lease.
-		s.Journal.Belief("opening-not-recorded", dispatcher.Field{Name: "group", Value: group}, dispatcher.Field{Name: "error", Value: err.Error()})
+		s.Journal.Belief("opening-not-recorded", journaler.Group(group), journaler.Err(err))
 	}
 }
 
@@ -146,8 +147,8 @@
 			}
 			err := s.Promoter.Promote(ctx, grant, next.Group, next.ID)
 			named = err == nil
-			s.Journal.Belief("promotion-sent", dispatcher.Field{Name: "group", Value: next.Group}, dispatcher.Field{Name: "instance", Value: next.ID},
-				dispatcher.Field{Name: "term", Value: term}, dispatcher.Field{Name: "token", Value: grant.Token}, dispatcher.Field{Name: "accepted", Value: named})
+			s.Journal.Belief("promotion-sent", journaler.Group(next.Group), journaler.Instance(next.ID),
+				journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", named))
 		}
 		asked := s.Clock.Now()
 		if st, err := s.Controller.Control(ctx, next, phraser.Statement{Kind: phraser.Status}); err == nil && st.Leads {
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -11,9 +11,10 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
 	"golang.org/x/sync/errgroup"
 
-	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/placer"
@@ -85,8 +86,8 @@
 			continue
 		}
 		if err := s.replace(ctx, group, verdict); err != nil {
-			s.Journal.Belief("replacement-failed", dispatcher.Field{Name: "group", Value: group},
-				dispatcher.Field{Name: "verdict", Value: verdict}, dispatcher.Field{Name: "error", Value: err.Error()})
+			s.Journal.Belief("replacement-failed", journaler.Group(group),
+				journaler.F("verdict", verdict), journaler.Err(err))
 			s.retry[group] = s.Clock.Now().Add(retryAfter)
 		}
 	}
