--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,7 +56,11 @@
 // newState returns the state of a process that has just started.
 func newState(p Parts) *state {
 	// The low bits tell processes apart that start in the same millisecond.
-	return &state{incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10), roll: observer.NewRoll()}
+	return &state{
+		incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10),
+		roll:        observer.NewRoll(),
+		peers:       &http.Client{Transport: &http.Transport{DialContext: p.Dial}},
+	}
 }
 
 const (
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -265,7 +265,7 @@
 	if err != nil {
 		return eris.Wrap(err, "building the request")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := p.State.peers.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "asking for the configuration")
 	}
--- a/assembler/parts.go
+++ b/assembler/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -70,6 +71,10 @@
 	Clock clocker.Clock
 	// Log takes the lines of the process.
 	Log *log.Logger
+	// Listen opens a listener.
+	Listen func(a netip.AddrPort) (net.Listener, error)
+	// Dial opens connections to other VMs.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Load reads the settings anew.
 	Load func() (loader.Hosted, error)
 	// Hangups tells that the settings may have changed.
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,8 @@
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
 	storeRegained atomic.Int64
 	roll          *observer.Roll
+	// peers fetches from other VMs.
+	peers *http.Client
 }
 
 const (
@@ -65,7 +68,7 @@
 // Run runs the process until ctx ends, drains it, and returns.
 func (p *Proxy) Run(ctx context.Context) error {
 	s := p.Parts.Settings
-	callers, err := net.Listen("tcp4", s.Listen.Callers.String())
+	callers, err := p.Parts.Listen(s.Listen.Callers)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
@@ -113,10 +116,10 @@
 		p.housekeep,
 		p.reload,
 		func(ctx context.Context) error {
-			return serve(ctx, s.Listen.Ready.String(), p.Parts.Adapter.Ready(p.ready))
+			return p.serve(ctx, s.Listen.Ready, p.Parts.Adapter.Ready(p.ready))
 		},
-		func(ctx context.Context) error { return serve(ctx, s.Listen.Peers.String(), p.peerHandler()) },
-		func(ctx context.Context) error { return serve(ctx, s.Listen.Operators.String(), p.operatorHandler()) },
+		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Peers, p.peerHandler()) },
+		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Operators, p.operatorHandler()) },
 	}
 }
 
@@ -188,8 +191,8 @@
 }
 
 // serve serves HTTP at an address until ctx ends.
-func serve(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp4", address)
+func (p *Proxy) serve(ctx context.Context, address netip.AddrPort, h http.Handler) error {
+	l, err := p.Parts.Listen(address)
 	if err != nil {
 		return eris.Wrapf(err, "listening at %s", address)
 	}
