--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -95,6 +95,7 @@
 		return nil
 	})
 	err = group.Wait()
+	p.Dispatcher.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -354,4 +354,7 @@
 		w.result <- result{err: ErrNoRoom}
 	}
 	p.line = nil
+	if p.retry != nil {
+		p.retry.Stop()
+	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// Close closes all connections and waits for the questions under way.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	for _, p := range d.pools {
+		p.Close()
+	}
+	d.mu.Unlock()
+	_ = d.background.Wait()
+}
+
 // Connections returns the number of connections held and ever opened.
 func (d *Dispatcher) Connections() (open int, opened uint64) {
 	d.mu.Lock()
