--- a/sessioner/handle.go
+++ b/sessioner/handle.go
@@ -76,7 +76,7 @@
 	if !s.idle() {
 		return phraser.Refuse(phraser.Misused, "a transaction is open"), nil
 	}
-	a, err := s.begin()
+	a, err := s.begin(st.ID)
 	if err != nil {
 		return a, err
 	}
@@ -146,7 +146,7 @@
 		return phraser.Refuse(phraser.Unprepared, "no such prepared statement"), nil
 	}
 	if s.idle() {
-		if a, err := s.begin(); err != nil {
+		if a, err := s.begin(st.ID); err != nil {
 			return a, err
 		}
 		u := s.next(st)
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -70,7 +70,7 @@
 		return
 	}
 	s.database, s.key = database, key
-	if _, _, refusal := s.resolve(); refusal.Result != phraser.Done {
+	if _, _, refusal := s.resolve(""); refusal.Result != phraser.Done {
 		_ = s.caller.Reject(refusal)
 		return
 	}
@@ -155,37 +155,37 @@
 }
 
 // resolve finds the caller's route and organisation in the configuration in force.
-func (s *session) resolve() (cataloguer.Route, cataloguer.Organisation, phraser.Answer) {
+func (s *session) resolve(id string) (cataloguer.Route, cataloguer.Organisation, phraser.Answer) {
 	c := s.server.Catalogue.Current()
 	if c == nil {
-		return cataloguer.Route{}, cataloguer.Organisation{}, s.refuse(phraser.Busy, coder.SettingsInvalid, "no configuration is known yet")
+		return cataloguer.Route{}, cataloguer.Organisation{}, s.refuse(id, phraser.Busy, coder.SettingsInvalid, "no configuration is known yet")
 	}
 	route, ok := c.Route(s.database)
 	if !ok {
-		return route, cataloguer.Organisation{}, s.refuse(phraser.UnknownDatabase, coder.RouteUnknown, "no such database")
+		return route, cataloguer.Organisation{}, s.refuse(id, phraser.UnknownDatabase, coder.RouteUnknown, "no such database")
 	}
 	organisation, ok := c.Owner(s.key)
 	if !ok && !route.Public {
-		return route, organisation, s.refuse(phraser.UnknownKey, coder.KeyRefused, "the key is not known")
+		return route, organisation, s.refuse(id, phraser.UnknownKey, coder.KeyRefused, "the key is not known")
 	}
 	return route, organisation, phraser.Answer{}
 }
 
 // refuse writes an answer that promises that nothing was kept.
-func (s *session) refuse(r phraser.Result, code coder.Code, why string) phraser.Answer {
+func (s *session) refuse(id string, r phraser.Result, code coder.Code, why string) phraser.Answer {
 	version := uint64(0)
 	if c := s.server.Catalogue.Current(); c != nil {
 		version = c.Version
 	}
-	s.server.Journal.Request("refuse", "", journaler.Code(code), journaler.F("database", s.database),
+	s.server.Journal.Request("refuse", id, journaler.Code(code), journaler.F("database", s.database),
 		journaler.Reason(why), journaler.Version(version),
 		journaler.F("caller", s.caller.Remote()))
 	return phraser.Refuse(r, code.String()+" "+why)
 }
 
 // begin binds the session to its route for one operation.
-func (s *session) begin() (phraser.Answer, error) {
-	route, organisation, refusal := s.resolve()
+func (s *session) begin(id string) (phraser.Answer, error) {
+	route, organisation, refusal := s.resolve(id)
 	if refusal.Result != phraser.Done {
 		return refusal, errOver
 	}
