--- /dev/null
+++ b/connector/pool_test.go
@@ -0,0 +1,176 @@
+package connector_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+const handshake = 12 * time.Millisecond
+
+// instance is an instance that takes a bounded number of connections.
+type instance struct {
+	mu     sync.Mutex
+	most   int
+	open   int
+	dials  int
+	peak   int
+	refuse int
+}
+
+// Dial opens a connection.
+func (i *instance) Dial(ctx context.Context, _ connector.Target, _ string) (connector.Conn, error) {
+	i.mu.Lock()
+	i.dials++
+	full := i.open >= i.most
+	if full {
+		i.refuse++
+	} else {
+		i.open++
+		i.peak = max(i.peak, i.open)
+	}
+	i.mu.Unlock()
+	select {
+	case <-time.After(handshake):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if full {
+		return nil, &connector.Refusal{Result: phraser.Full}
+	}
+	return &conn{i: i}, nil
+}
+
+// conn is a connection to an instance.
+type conn struct {
+	i    *instance
+	once sync.Once
+}
+
+func (c *conn) Exchange(context.Context, phraser.Statement) (phraser.Answer, error) {
+	return phraser.Answer{}, nil
+}
+func (c *conn) Alive() bool { return true }
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.i.mu.Lock()
+		defer c.i.mu.Unlock()
+		c.i.open--
+	})
+	return nil
+}
+
+// newPool returns a pool of an instance.
+func newPool(i *instance, share int) *connector.Pool {
+	return connector.NewPool(connector.Target{}, i, clocker.Func(time.Now), connector.Bounds{Share: share, Most: i.most})
+}
+
+func TestConnectionIsReusedByItsOrganisationOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 4}
+		p := newPool(i, 2)
+		defer p.Close()
+		for _, organisation := range []string{"a", "a", "b", "a"} {
+			l, err := p.Acquire(t.Context(), organisation, 1, time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(l.Organisation).To(Equal(organisation))
+			l.Release(time.Now(), true)
+		}
+		g.Expect(i.dials).To(Equal(2))
+	})
+}
+
+// A caller that gives up does not break off the connection that was being
+// opened for it: the next one gets it.
+func TestDialOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 4}
+		p := newPool(i, 2)
+		defer p.Close()
+		_, err := p.Acquire(t.Context(), "a", 1, handshake/2)
+		g.Expect(err).To(MatchError(connector.ErrNoRoom))
+		time.Sleep(handshake)
+		l, err := p.Acquire(t.Context(), "a", 1, time.Millisecond)
+		g.Expect(err).NotTo(HaveOccurred())
+		l.Release(time.Now(), true)
+		g.Expect(i.dials).To(Equal(1))
+	})
+}
+
+// VMs in need do not flood an instance that is full: each tries one connection
+// at a time and steps back.
+func TestFullInstanceIsNotFlooded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 4}
+		var pools []*connector.Pool
+		for range 8 {
+			pools = append(pools, newPool(i, 1))
+		}
+		var group sync.WaitGroup
+		served := 0
+		var mu sync.Mutex
+		for n := range 400 {
+			group.Go(func() {
+				l, err := pools[n%8].Acquire(t.Context(), string(rune('a'+n%5)), 1, 5*time.Second)
+				if err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				l.Release(time.Now(), true)
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			})
+		}
+		group.Wait()
+		for _, p := range pools {
+			p.Close()
+		}
+		g.Expect(i.peak).To(BeNumerically("<=", 4))
+		g.Expect(i.refuse).To(BeNumerically("<", 8*5*25), "25 tries a second for each VM at most")
+		g.Expect(served).To(BeNumerically(">", 200))
+	})
+}
+
+// What is urgent goes first in line, and a line that is too long refuses at once.
+func TestLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 1}
+		p := newPool(i, 1)
+		defer p.Close()
+		l, err := p.Acquire(t.Context(), "a", 1, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		order := make(chan int, 2)
+		var group errgroup.Group
+		for _, priority := range []int{2, 1} {
+			group.Go(func() error {
+				l, err := p.Acquire(t.Context(), "a", priority, time.Second)
+				if err == nil {
+					order <- priority
+					time.Sleep(50 * time.Millisecond)
+					l.Release(time.Now(), true)
+				}
+				return err
+			})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		l.Release(time.Now(), true)
+		g.Expect(<-order).To(Equal(1))
+		g.Expect(<-order).To(Equal(2))
+		g.Expect(group.Wait()).To(Succeed())
+	})
+}
