--- a/connector/pool.go
+++ b/connector/pool.go
@@ -184,6 +184,9 @@
 
 // pump opens connections for those in line, as far as the bounds allow. The lock is held.
 func (p *Pool) pump(now time.Time) {
+	if p.closed {
+		return
+	}
 	for _, w := range p.line {
 		if w.dialling {
 			continue
@@ -358,3 +361,8 @@
 		p.retry.Stop()
 	}
 }
+
+// Wait waits, after Close, until no connection is being opened any more.
+func (p *Pool) Wait() {
+	_ = p.dials.Wait()
+}
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -79,6 +79,7 @@
 		g := NewWithT(t)
 		i := &instance{most: 4}
 		p := newPool(i, 2)
+		defer p.Wait()
 		defer p.Close()
 		for _, organisation := range []string{"a", "a", "b", "a"} {
 			l, err := p.Acquire(t.Context(), organisation, 1, time.Second)
@@ -97,6 +98,7 @@
 		g := NewWithT(t)
 		i := &instance{most: 4}
 		p := newPool(i, 2)
+		defer p.Wait()
 		defer p.Close()
 		_, err := p.Acquire(t.Context(), "a", 1, handshake/2)
 		g.Expect(err).To(MatchError(connector.ErrNoRoom))
@@ -137,6 +139,7 @@
 		group.Wait()
 		for _, p := range pools {
 			p.Close()
+			p.Wait()
 		}
 		g.Expect(i.peak).To(BeNumerically("<=", 4))
 		g.Expect(i.refuse).To(BeNumerically("<", 8*5*25), "25 tries a second for each VM at most")
@@ -150,6 +153,7 @@
 		g := NewWithT(t)
 		i := &instance{most: 1}
 		p := newPool(i, 1)
+		defer p.Wait()
 		defer p.Close()
 		l, err := p.Acquire(t.Context(), "a", 1, time.Second)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,10 +106,12 @@
 // Close closes all connections and waits for the questions under way.
 func (d *Dispatcher) Close() {
 	d.mu.Lock()
-	for _, p := range d.pools {
+	pools := slices.Collect(maps.Values(d.pools))
+	d.mu.Unlock()
+	for _, p := range pools {
 		p.Close()
+		p.Wait()
 	}
-	d.mu.Unlock()
 	_ = d.background.Wait()
 }
 
