perf: near and far VMs; two watchers of the store an availability zone

Change: a fleet of more than 16 tells far VMs every 3 s and no demand; nine tenths of each rate are lent there. Two VMs a zone watch the store, the others hear of news and fetch it from them; the record is read by one VM, asked for by one a zone.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -56,11 +56,13 @@
 // newState returns the state of a process that has just started.
 func newState(p Parts) *state {
 	// The low bits tell processes apart that start in the same millisecond.
-	return &state{
+	s := &state{
 		incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10),
 		roll:        observer.NewRoll(),
 		peers:       &http.Client{Transport: &http.Transport{DialContext: p.Dial}},
 	}
+	s.watches.Store(true)
+	return s
 }
 
 const (
@@ -115,7 +117,7 @@
 // newGossiper returns a gossiper that tells what this process knows.
 func newGossiper(p Parts, n newsParts) *gossiper.Gossiper {
 	news := &news{newsParts: n, settings: p.Settings}
-	g := gossiper.New(p.Transport, p.Clock, news.compose, news.hear)
+	g := gossiper.New(p.Transport, p.Clock, p.Settings.VM.AvailabilityZone, news.compose, news.hear)
 	news.gossiper = g
 	n.Borrower.Join(g)
 	g.Handle(borrower.Topic, n.Borrower.Answer, n.Borrower.Hear)
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +22,7 @@
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/placer"
 )
 
 const (
@@ -38,13 +41,14 @@
 	vmsPrefix = "marigoldgauge-vms/"
 	// registerRetry is the pause after a failed registration.
 	registerRetry = 400 * time.Millisecond
-	// relistEvery is how often the register is read again.
-	relistEvery = 15 * time.Second
+	// relistEvery is how often the register is read again; VMs that come are heard
+	// without it.
+	relistEvery = 30 * time.Second
 )
 
 // follow follows a prefix of the store.
-func (p *Proxy) follow(ctx context.Context, prefix string, apply func(asOf time.Time, objects map[string]keeper.Object)) error {
-	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached}
+func (p *Proxy) follow(ctx context.Context, prefix string, apply func(asOf time.Time, revision uint64, objects map[string]keeper.Object)) error {
+	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Hold: p.hold}
 	return f.Run(ctx)
 }
 
@@ -67,7 +71,7 @@
 func (p *Proxy) followCatalogue(ctx context.Context) error {
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:len(key)-len(baseName(key))]
-	return p.follow(ctx, prefix, func(asOf time.Time, objects map[string]keeper.Object) {
+	return p.follow(ctx, prefix, func(asOf time.Time, _ uint64, objects map[string]keeper.Object) {
 		if o, ok := objects[key]; ok {
 			p.takeCatalogue(o.Value, "store")
 		}
@@ -96,6 +100,7 @@
 		return
 	}
 	p.shape(c)
+	p.spread()
 	p.Journal.Belief("configuration-taken", journaler.Version(c.Version), journaler.F("routes", c.Databases()),
 		journaler.F("organisations", len(c.Organisations)), journaler.Source(source))
 }
@@ -117,21 +122,71 @@
 
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
-	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(_ time.Time, objects map[string]keeper.Object) {
-		list := make([]observer.Instance, 0, len(objects))
-		for _, o := range objects {
-			i, err := p.Parts.Adapter.Instance(o)
-			if err != nil {
-				p.Journal.Belief("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
-				continue
-			}
-			list = append(list, i)
-		}
-		p.State.roll.List(p.Parts.Clock.Now(), list)
-		p.takeInstances()
+	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(_ time.Time, revision uint64, objects map[string]keeper.Object) {
+		p.takeListing(&listing{Revision: revision, Objects: slices.Collect(maps.Values(objects))})
 	})
 }
 
+// listing is the list of instances as it lay in the store.
+type listing struct {
+	// Revision is the store's count of changes that it reflects.
+	Revision uint64 `json:"revision"`
+	// Objects are the entries.
+	Objects []keeper.Object `json:"objects"`
+}
+
+// takeListing takes the list of instances, unless a later one is known.
+func (p *Proxy) takeListing(l *listing) {
+	if l.Revision < p.State.listing.Load() {
+		return
+	}
+	p.State.listing.Store(l.Revision)
+	p.State.objects.Store(l)
+	list := make([]observer.Instance, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		i, err := p.Parts.Adapter.Instance(o)
+		if err != nil {
+			p.Journal.Belief("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
+			continue
+		}
+		list = append(list, i)
+	}
+	p.State.roll.List(p.Parts.Clock.Now(), list)
+	p.takeInstances()
+	p.spread()
+}
+
+// spread tells the other VMs of news from the store at once.
+func (p *Proxy) spread() {
+	if p.State.watches.Load() {
+		p.Gossiper.Hurry()
+	}
+}
+
+// watchers is the number of VMs of an availability zone that watch the store.
+const watchers = 2
+
+// hold reports whether this VM leaves the store alone because enough others of
+// its availability zone watch it, from whom it hears of changes.
+func (p *Proxy) hold(now time.Time) bool {
+	near := p.Gossiper.Near(now)
+	names := []string{p.Parts.Settings.VM.ID}
+	fresh := 0
+	for _, peer := range near {
+		if peer.StoreUnreachable || peer.Leaving {
+			continue
+		}
+		names = append(names, peer.Name)
+		if peer.Fresh {
+			fresh++
+		}
+	}
+	rank := slices.Index(placer.Rank("watch-store", names), p.Parts.Settings.VM.ID)
+	hold := rank >= watchers && fresh >= watchers && !p.State.storeLost.Load()
+	p.State.watches.Store(!hold)
+	return hold
+}
+
 // takeInstances lets the parts know which instances there are.
 func (p *Proxy) takeInstances() {
 	list := p.State.roll.Instances(p.Parts.Clock.Now())
@@ -228,12 +283,12 @@
 	return out
 }
 
-// catchUp fetches later configurations from VMs that tell of them: the store may
-// turn this VM away while it serves others.
+// catchUp fetches what other VMs know later: this one may leave the store alone,
+// or be turned away by it.
 func (p *Proxy) catchUp(ctx context.Context) error {
 	ticker := time.NewTicker(catchUpAfter)
 	defer ticker.Stop()
-	behind := uint64(0)
+	behind := gossiper.Message{}
 	for {
 		select {
 		case <-ticker.C:
@@ -241,42 +296,72 @@
 			return nil
 		}
 		own, _ := p.Catalogue.Raw()
-		var ahead gossiper.Peer
+		var version, list gossiper.Peer
 		for _, peer := range p.Gossiper.Alive(p.Parts.Clock.Now()) {
-			if peer.Version > max(own, ahead.Version) {
-				ahead = peer
+			if peer.Version > max(own, version.Version) {
+				version = peer
+			}
+			if peer.Listing > max(p.State.listing.Load(), list.Listing) {
+				list = peer
 			}
 		}
-		if ahead.Version == 0 || ahead.Version != behind {
-			behind = ahead.Version
-			continue
+		holds := !p.State.watches.Load()
+		if version.Version > 0 && (holds || version.Version == behind.Version) {
+			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
 		}
-		if err := p.fetch(ctx, ahead); err != nil {
-			p.Journal.Belief("catch-up-failed", journaler.F("from", ahead.Name), journaler.Err(err))
+		if list.Listing > 0 && (holds || list.Listing == behind.Listing) {
+			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
 		}
+		behind.Version, behind.Listing = version.Version, list.Listing
+	}
+}
+
+// note records an error in dealing with another VM.
+func (p *Proxy) note(decision, vm string, err error) {
+	if err != nil {
+		p.Journal.Belief(decision, journaler.Source(vm), journaler.Err(err))
+	}
+}
+
+// fetchCatalogue takes the configuration of another VM.
+func (p *Proxy) fetchCatalogue(ctx context.Context, from gossiper.Peer) error {
+	raw, err := p.fetch(ctx, from, cataloguePath)
+	if err == nil {
+		p.takeCatalogue(raw, from.Name)
+	}
+	return err
+}
+
+// fetchListing takes the list of instances of another VM.
+func (p *Proxy) fetchListing(ctx context.Context, from gossiper.Peer) error {
+	raw, err := p.fetch(ctx, from, listingPath)
+	if err != nil {
+		return err
 	}
+	var l listing
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return eris.Wrap(err, "decoding the list of instances")
+	}
+	p.takeListing(&l)
+	return nil
 }
 
-// fetch takes the configuration of another VM.
-func (p *Proxy) fetch(ctx context.Context, from gossiper.Peer) error {
+// fetch asks another VM for what it knows.
+func (p *Proxy) fetch(ctx context.Context, from gossiper.Peer, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address.String()+cataloguePath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address.String()+path, nil)
 	if err != nil {
-		return eris.Wrap(err, "building the request")
+		return nil, eris.Wrap(err, "building the request")
 	}
 	resp, err := p.State.peers.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "asking for the configuration")
+		return nil, eris.Wrap(err, "asking another VM")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("the VM answered with status %d", resp.StatusCode)
+		return nil, eris.Errorf("the VM answered with status %d", resp.StatusCode)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCatalogue))
-	if err != nil {
-		return eris.Wrap(err, "reading the configuration")
-	}
-	p.takeCatalogue(raw, from.Name)
-	return nil
+	return raw, eris.Wrap(err, "reading the answer")
 }
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -11,8 +11,12 @@
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 )
 
-// cataloguePath is where a VM tells the others the configuration in force.
-const cataloguePath = "/catalogue"
+// cataloguePath and listingPath are where a VM tells the others the configuration
+// in force and the list of instances.
+const (
+	cataloguePath = "/catalogue"
+	listingPath   = "/instances"
+)
 
 // peerHandler answers other VMs.
 func (p *Proxy) peerHandler() http.Handler {
@@ -26,6 +30,14 @@
 		// A peer that has gone away asks again.
 		_, _ = w.Write(raw)
 	})
+	mux.HandleFunc("GET "+listingPath, func(w http.ResponseWriter, _ *http.Request) {
+		l := p.State.objects.Load()
+		if l == nil {
+			http.Error(w, "no list of instances is known yet", http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(l)
+	})
 	return mux
 }
 
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -41,17 +41,20 @@
 }
 
 // compose writes this VM's message.
-func (n *news) compose(now time.Time) gossiper.Message {
+func (n *news) compose(now time.Time, far bool) gossiper.Message {
 	n.share(now)
 	m := gossiper.Message{
-		Name: n.settings.VM.ID, Address: n.settings.Listen.Peers, Incarnation: n.State.incarnation,
+		Name: n.settings.VM.ID, AvailabilityZone: n.settings.VM.AvailabilityZone, Address: n.settings.Listen.Peers, Incarnation: n.State.incarnation,
 		Leaving: n.Sessions.Leaving(), StoreUnreachable: n.State.storeLost.Load(), Demand: map[string]uint32{},
+		Listing: n.State.listing.Load(), Fresh: n.State.watches.Load() && !n.State.storeLost.Load(),
 	}
 	if c := n.Catalogue.Current(); c != nil {
 		m.Version = c.Version
 	}
-	for organisation, demand := range n.Sharer.Tell(now) {
-		m.Demand[organisation] = uint32(demand * demandScale)
+	if !n.gossiper.IsLarge() {
+		for organisation, demand := range n.Sharer.Tell(now) {
+			m.Demand[organisation] = uint32(demand * demandScale)
+		}
 	}
 	for _, group := range n.Observer.Groups() {
 		primary, term, ok := n.Observer.Primary(group)
@@ -69,6 +72,10 @@
 // that a primary cannot be reached.
 const unreachedAfter = 300 * time.Millisecond
 
+// tellFarFor is how long far VMs of a large fleet are told of a new primary;
+// after that all have heard.
+const tellFarFor = 30 * time.Second
+
 // reachedFor is how long an answer of a primary speaks for it.
 const reachedFor = time.Second
 
@@ -89,7 +96,7 @@
 	}
 	alive := len(n.gossiper.Alive(now))
 	heard := float64(alive+1) / float64(len(known)+silent+1)
-	n.Sharer.SetPeers(now, peers, silent, heard, func(organisation string) bool { return n.Borrower.Lends(now, organisation) })
+	n.Sharer.SetPeers(now, peers, silent, heard, n.gossiper.IsLarge(), func(organisation string) bool { return n.Borrower.Lends(now, organisation) })
 	if c := n.Catalogue.Current(); c != nil {
 		n.Dispatcher.SetShape(c.Groups, alive+1)
 	}
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -54,6 +54,11 @@
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
 	storeRegained atomic.Int64
 	roll          *observer.Roll
+	// listing is the store's revision of the list of instances; watches reports
+	// that this VM watches the store itself.
+	listing atomic.Uint64
+	watches atomic.Bool
+	objects atomic.Pointer[listing]
 	// peers fetches from other VMs.
 	peers *http.Client
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,8 @@
 	// within which a change must be noticed once the store is back.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// holdStep is how often it is looked whether the store is still left alone.
+	holdStep = 500 * time.Millisecond
 )
 
 // Follower follows one prefix.
@@ -28,19 +30,34 @@
 	Wait time.Duration
 	// Clock tells the present time.
 	Clock clocker.Clock
-	// Apply takes the whole copy after each change, with the time as of which it was complete.
-	Apply func(asOf time.Time, objects map[string]keeper.Object)
+	// Apply takes the whole copy after each change, with the time and the
+	// revision as of which it was complete.
+	Apply func(asOf time.Time, revision uint64, objects map[string]keeper.Object)
+	// Hold reports whether to leave the store alone for now; nil never does.
+	Hold func(now time.Time) bool
 	// Reached is told of each call whether the store answered.
 	Reached func(now time.Time, err error)
 
 	objects  map[string]keeper.Object
 	revision uint64
+	held     bool
 }
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if f.objects != nil && f.Hold != nil && f.Hold(f.Clock.Now()) {
+			f.held = true
+			if !sleep(ctx, holdStep) {
+				return nil
+			}
+			continue
+		}
+		if f.held {
+			// The history may be gone; the list is complete.
+			f.held, f.objects = false, nil
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return nil
@@ -80,7 +97,7 @@
 		}
 		f.objects = map[string]keeper.Object{}
 		f.merge(page)
-		f.Apply(asked, f.objects)
+		f.Apply(asked, f.revision, f.objects)
 		return nil
 	}
 	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait)
@@ -92,7 +109,7 @@
 		return nil
 	}
 	f.merge(page)
-	f.Apply(asked, f.objects)
+	f.Apply(asked, f.revision, f.objects)
 	return nil
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -21,12 +21,17 @@
 )
 
 const (
-	// interval is the time between two messages to the same VM: a change of
-	// demand is known within a tenth of the window in which rates are counted.
+	// interval is the time between two messages to a near VM: a change of demand
+	// is known within a tenth of the window in which rates are counted.
 	interval = 500 * time.Millisecond
-	// aliveFor is the time without a message after which a VM counts as silent:
-	// four lost messages in a row.
-	aliveFor = 4 * interval
+	// farInterval is that time for VMs of other availability zones in a large
+	// fleet, where they are many and the way has its price.
+	farInterval = 3 * time.Second
+	// Large is the number of VMs above which a fleet counts as large.
+	Large = 16
+	// lostMessages is the number of messages in a row that may be lost before a
+	// VM counts as silent.
+	lostMessages = 4
 	// goneAfter is the time without a message after which a VM is forgotten.
 	goneAfter = 20 * time.Second
 	// expectFor is how long a VM that was never heard is counted: a killed
@@ -40,7 +45,8 @@
 type Gossiper struct {
 	transport Transport
 	clock     clocker.Clock
-	compose   func(now time.Time) Message
+	zone      string
+	compose   func(now time.Time, far bool) Message
 	heard     func(now time.Time, m Message)
 	topics    map[Topic]topic
 
@@ -51,12 +57,14 @@
 	seeded   bool
 	sequence uint64
 	urgent   chan struct{}
+	toldFar  time.Time
 }
 
-// New returns a Gossiper. compose writes this VM's message but for its
-// sequence; heard is told of each message of another VM.
-func New(t Transport, c clocker.Clock, compose func(now time.Time) Message, heard func(now time.Time, m Message)) *Gossiper {
-	return &Gossiper{transport: t, clock: c, compose: compose, heard: heard, peers: map[string]*Peer{}, topics: map[Topic]topic{}, urgent: make(chan struct{}, 1)}
+// New returns a Gossiper of an availability zone. compose writes this VM's
+// message but for its sequence, a shorter one for far VMs of a large fleet;
+// heard is told of each message of another VM.
+func New(t Transport, c clocker.Clock, zone string, compose func(now time.Time, far bool) Message, heard func(now time.Time, m Message)) *Gossiper {
+	return &Gossiper{transport: t, clock: c, zone: zone, compose: compose, heard: heard, peers: map[string]*Peer{}, topics: map[Topic]topic{}, urgent: make(chan struct{}, 1)}
 }
 
 // seed is a VM that may not have been heard yet.
@@ -96,7 +104,28 @@
 
 // Alive returns the other VMs that were heard a moment ago, in ascending order of name.
 func (g *Gossiper) Alive(now time.Time) []Peer {
-	return g.filter(func(p *Peer) bool { return now.Sub(p.Heard) < aliveFor })
+	large := g.IsLarge()
+	return g.filter(func(p *Peer) bool { return now.Sub(p.Heard) < g.aliveFor(p, large) })
+}
+
+// Near returns the other VMs of this availability zone that were heard a moment ago.
+func (g *Gossiper) Near(now time.Time) []Peer {
+	return g.filter(func(p *Peer) bool { return p.AvailabilityZone == g.zone && now.Sub(p.Heard) < lostMessages*interval })
+}
+
+// aliveFor returns the time without a message after which a VM counts as silent.
+func (g *Gossiper) aliveFor(p *Peer, large bool) time.Duration {
+	if large && p.AvailabilityZone != g.zone {
+		return lostMessages * farInterval
+	}
+	return lostMessages * interval
+}
+
+// IsLarge reports whether the fleet counts as large.
+func (g *Gossiper) IsLarge() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.peers) >= Large || len(g.seeds) >= Large
 }
 
 // Known returns the other VMs that are not known to be gone.
@@ -150,36 +179,71 @@
 	})
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	urgent := true
 	for ctx.Err() == nil {
-		g.tell()
+		g.tell(urgent)
 		select {
 		case <-ticker.C:
+			urgent = false
 		case <-g.urgent:
+			urgent = true
 		case <-ctx.Done():
 		}
 	}
 	return group.Wait()
 }
 
-// tell sends this VM's message to all others.
-func (g *Gossiper) tell() {
+// tell sends this VM's message to the others whose turn it is.
+func (g *Gossiper) tell(urgent bool) {
 	now := g.clock.Now()
-	m := g.compose(now)
-	g.mu.Lock()
-	g.sequence++
-	m.Sequence = g.sequence
-	g.self = m
-	targets := map[netip.AddrPort]bool{}
-	for _, s := range g.seeds {
-		targets[s.address] = true
+	large := g.IsLarge()
+	everyone := !large || urgent || now.Sub(g.toldFar) >= farInterval
+	if everyone {
+		g.toldFar = now
 	}
+	near, far := g.targets(now, large, everyone)
+	g.spread(now, near, false)
+	g.spread(now, far, true)
+}
+
+// targets returns the near VMs and, if everyone is told, the far ones. In a
+// small fleet all are near.
+func (g *Gossiper) targets(now time.Time, large, everyone bool) (near, far map[netip.AddrPort]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	near, far = map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
 	for name, p := range g.peers {
-		if now.Sub(p.Heard) > goneAfter {
+		switch {
+		case now.Sub(p.Heard) > goneAfter:
 			delete(g.peers, name)
-			continue
+		case !large || p.AvailabilityZone == g.zone:
+			near[p.Address] = true
+		case everyone:
+			far[p.Address] = true
 		}
-		targets[p.Address] = true
 	}
+	for name, s := range g.seeds {
+		switch {
+		case g.peers[name] != nil:
+		case !large:
+			near[s.address] = true
+		case everyone:
+			far[s.address] = true
+		}
+	}
+	return near, far
+}
+
+// spread sends this VM's message to some others.
+func (g *Gossiper) spread(now time.Time, targets map[netip.AddrPort]bool, far bool) {
+	if len(targets) == 0 && far {
+		return
+	}
+	m := g.compose(now, far)
+	g.mu.Lock()
+	g.sequence++
+	m.Sequence = g.sequence
+	g.self = m
 	g.mu.Unlock()
 	b, err := cbor.Marshal(m)
 	if err != nil {
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -17,5 +17,5 @@
 	if m.Incarnation == p.Incarnation {
 		return m.Sequence <= p.Sequence
 	}
-	return m.Incarnation < p.Incarnation && now.Sub(p.Heard) < aliveFor
+	return m.Incarnation < p.Incarnation && now.Sub(p.Heard) < lostMessages*interval
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -107,6 +107,13 @@
 	return g.primary, g.term, g.primary != "" && !g.deposed
 }
 
+// Since returns when the primary of a group was learnt.
+func (o *Observer) Since(group string) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.group(group).taken
+}
+
 // Confirmed returns the last time as of which the primary is known to lead alone.
 func (o *Observer) Confirmed(group string) time.Time {
 	o.mu.Lock()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -25,6 +25,9 @@
 	// lentPart is the part of a rate that is lent: small enough that the split
 	// part serves alone while the lender is silent.
 	lentPart = 0.6
+	// lentPartLarge is that part in a large fleet, where no demand is told and
+	// the rest is split evenly.
+	lentPartLarge = 0.9
 	// evenPart is the part of a rate that is shared evenly whatever the demand,
 	// so that the first requests at another VM need not wait for news.
 	evenPart = 0.15
@@ -44,6 +47,7 @@
 	silent   int
 	lends    func(organisation string) bool
 	heard    float64
+	large    bool
 }
 
 // account is the state of one organisation.
@@ -86,10 +90,10 @@
 // share is left to each of the silent VMs, which may be spending it. The part of
 // them all that was heard a moment ago bounds what this VM lends of the rates
 // for which lends is true.
-func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int, heard float64, lends func(organisation string) bool) {
+func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int, heard float64, large bool, lends func(organisation string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers, s.silent, s.heard, s.lends = peers, silent, heard, lends
+	s.peers, s.silent, s.heard, s.large, s.lends = peers, silent, heard, large, lends
 	s.divide(now)
 }
 
@@ -99,16 +103,23 @@
 	part := heard / (heard + float64(s.silent))
 	for name, a := range s.accounts {
 		total := s.told[name]
+		if s.large {
+			total = 0
+		}
 		for _, p := range s.peers {
-			total += p.Demand[name]
+			if !s.large {
+				total += p.Demand[name]
+			}
 		}
 		a.share = part / heard
 		if total > 0 {
 			a.share = part * (evenPart/heard + (1-evenPart)*s.told[name]/total)
 		}
 		s.setLent(now, name, a)
-		limit := a.whole.Scale((1 - lentPart) * a.share)
-		limit.Burst = max(limit.Burst, 1)
+		limit := a.whole.Scale((1 - s.lent()) * a.share)
+		if !s.large {
+			limit.Burst = max(limit.Burst, 1)
+		}
 		if a.bucket == nil {
 			a.bucket = limiter.NewBucket(now, limit, max(1, limit.Burst*firstTokens))
 			continue
@@ -117,13 +128,21 @@
 	}
 }
 
+// lent returns the part of the rates that is lent. The lock is held.
+func (s *Sharer) lent() float64 {
+	if s.large {
+		return lentPartLarge
+	}
+	return lentPart
+}
+
 // setLent works out what this VM lends of one rate. The lock is held.
 func (s *Sharer) setLent(now time.Time, name string, a *account) {
 	if s.lends == nil || !s.lends(name) {
 		a.lent = nil
 		return
 	}
-	limit := a.whole.Scale(lentPart * s.heard)
+	limit := a.whole.Scale(s.lent() * s.heard)
 	limit.Burst = max(limit.Burst, 1)
 	if a.lent == nil {
 		// The lender before may have lent its whole burst just now.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -22,6 +22,7 @@
 	told  []map[string]float64
 	heard []bool
 	limit limiter.Limit
+	large bool
 }
 
 const (
@@ -86,7 +87,7 @@
 			}
 		}
 		heard := float64(len(peers)+1) / float64(len(f.vms))
-		vm.SetPeers(f.now, peers, silent, heard, func(string) bool { return i == f.lender(i) })
+		vm.SetPeers(f.now, peers, silent, heard, f.large, func(string) bool { return i == f.lender(i) })
 	}
 }
 
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -27,6 +27,8 @@
 	inspectEvery = 5 * time.Second
 	// retryAfter is the pause after a replacement that failed.
 	retryAfter = 400 * time.Millisecond
+	// voteFor is how long what a VM told counts as its vote.
+	voteFor = 1500 * time.Millisecond
 	// duty names the duty for the ranking of the VMs.
 	duty = "replace-primaries"
 )
@@ -128,6 +130,9 @@
 	}
 	v.Leaderless = s.leaderless[group]
 	for _, p := range peers {
+		if now.Sub(p.Heard) > voteFor {
+			continue
+		}
 		for _, g := range p.Groups {
 			switch {
 			case g.Group != group || g.Term != term:
--- a/voucher/parts.go
+++ b/voucher/parts.go
@@ -32,6 +32,8 @@
 type Fleet interface {
 	// Alive returns the other VMs that were heard a moment ago.
 	Alive(now time.Time) []gossiper.Peer
+	// Near returns those of them in this VM's availability zone.
+	Near(now time.Time) []gossiper.Peer
 	// Members returns all other VMs of the fleet, also those that are silent.
 	Members(now time.Time) []gossiper.Peer
 	// Ask sends a question to a VM; the answer may never come.
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -98,27 +98,41 @@
 }
 
 // step refreshes the knowledge once.
+//
+// The first VM reads the record, the first of each availability zone asks that
+// one, and all others ask the first of their zone.
 func (v *Voucher) step(ctx context.Context, now time.Time) {
+	alive := v.Fleet.Alive(now)
+	source, self := v.first(v.Fleet.Near(now))
+	if self {
+		source, self = v.first(alive)
+	}
+	if !self {
+		v.ask(now, source, nil)
+	}
+	if self || v.Age(now) > readAge {
+		record, asOf, err := v.Parts.Record.Look(ctx)
+		if err == nil {
+			v.take(v.Clock.Now(), asOf, record)
+		}
+	}
+}
+
+// first returns the first of this VM and some others that reach the store.
+func (v *Voucher) first(others []gossiper.Peer) (p gossiper.Peer, self bool) {
 	names := []string{v.Name}
-	for _, p := range v.Fleet.Alive(now) {
+	for _, p := range others {
 		if !p.StoreUnreachable && !p.Leaving {
 			names = append(names, p.Name)
 		}
 	}
 	first := placer.First(duty, names)
-	if first != v.Name {
-		for _, p := range v.Fleet.Alive(now) {
-			if p.Name == first {
-				v.ask(now, p, nil)
-			}
-		}
-	}
-	if first == v.Name || v.Age(now) > readAge {
-		record, asOf, err := v.Parts.Record.Look(ctx)
-		if err == nil {
-			v.take(v.Clock.Now(), asOf, record)
+	for _, p := range others {
+		if p.Name == first {
+			return p, false
 		}
 	}
+	return gossiper.Peer{}, true
 }
 
 // Record returns the record as last heard.
