--- a/assembler/news.go
+++ b/assembler/news.go
@@ -59,7 +59,7 @@
 	for _, group := range n.Observer.Groups() {
 		primary, term, ok := n.Observer.Primary(group)
 		unreached := n.Observer.Unreached(group)
-		if ok {
+		if ok && (!far || !unreached.IsZero() || now.Sub(n.Observer.Since(group)) < tellFarFor) {
 			lost := !unreached.IsZero() && now.Sub(unreached) > unreachedAfter
 			m.Groups = append(m.Groups, gossiper.GroupNews{Group: group, Primary: primary, Term: term,
 				Opened: n.Observer.Opened(now, group), Unreached: lost, Reached: !lost && now.Sub(n.Observer.PrimaryAnswered(group)) < reachedFor})
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -40,6 +40,7 @@
 	leaderless map[string]time.Time
 	paused     map[string]time.Time
 	retry      map[string]time.Time
+	begun      map[string]time.Time
 	inspected  time.Time
 	group      errgroup.Group
 
@@ -49,7 +50,7 @@
 
 // New returns a Switcher.
 func New(p Parts) *Switcher {
-	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}}
+	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}, begun: map[string]time.Time{}}
 }
 
 // Run looks after the groups until ctx ends.
@@ -129,6 +130,7 @@
 		s.leaderless[group] = now
 	}
 	v.Leaderless = s.leaderless[group]
+	v.Begun, v.Holds = s.begunSince(now, group, term)
 	for _, p := range peers {
 		if now.Sub(p.Heard) > voteFor {
 			continue
@@ -146,6 +148,20 @@
 	return v
 }
 
+// begunSince returns since when the record is known to end a term, and whether
+// this VM holds the duty.
+func (s *Switcher) begunSince(now time.Time, group string, term uint64) (since time.Time, holds bool) {
+	record := s.Announcer.Record()
+	if term == 0 || record.Superseded[group] < term {
+		delete(s.begun, group)
+		return time.Time{}, false
+	}
+	if s.begun[group].IsZero() {
+		s.begun[group] = now
+	}
+	return s.begun[group], record.Holder == s.Name
+}
+
 // find returns the instance with an id.
 func find(list []observer.Instance, id string) (observer.Instance, bool) {
 	n := slices.IndexFunc(list, func(i observer.Instance) bool { return i.ID == id })
--- a/switcher/verdict.go
+++ b/switcher/verdict.go
@@ -13,6 +13,9 @@
 	Lost
 	// Leaderless finds a primary for a group in which no instance leads.
 	Leaderless
+	// Unfinished goes on with a replacement that another VM, or an earlier
+	// process, began and left.
+	Unfinished
 )
 
 // String returns the verdict as it appears in logs.
@@ -24,6 +27,8 @@
 		return "lost"
 	case Leaderless:
 		return "leaderless"
+	case Unfinished:
+		return "unfinished"
 	default:
 		return "keep"
 	}
--- a/switcher/view.go
+++ b/switcher/view.go
@@ -17,6 +17,11 @@
 	Unserved time.Time
 	// Leaderless is since when no instance is known to lead; zero while one does.
 	Leaderless time.Time
+	// Begun is since when the record is known to say that the present term ends;
+	// zero while it does not.
+	Begun time.Time
+	// Holds reports that this VM holds the duty.
+	Holds bool
 	// LostVotes and ServedVotes count the other VMs that the primary does not serve, and serves.
 	LostVotes, ServedVotes int
 	// Rank is this VM's place among those that may replace primaries, from 0.
@@ -29,6 +34,8 @@
 	lostAfter = 700 * time.Millisecond
 	// leaderlessAfter leaves an instance that has just been promoted time to say so.
 	leaderlessAfter = 1500 * time.Millisecond
+	// unfinishedAfter is how long the VM that began a replacement may take.
+	unfinishedAfter = 5 * time.Second
 	// rankDelay keeps the VMs from replacing the same primary at once.
 	rankDelay = 800 * time.Millisecond
 )
@@ -42,6 +49,9 @@
 		}
 		return Keep
 	}
+	if !v.Begun.IsZero() && (v.Holds || now.Sub(v.Begun) >= unfinishedAfter+delay) {
+		return Unfinished
+	}
 	lost, served := v.LostVotes, v.ServedVotes
 	if v.Unserved.IsZero() {
 		served++
