--- a/assembler/news.go
+++ b/assembler/news.go
@@ -76,8 +76,9 @@
 // after that all have heard.
 const tellFarFor = 30 * time.Second
 
-// reachedFor is how long an answer of a primary speaks for it.
-const reachedFor = time.Second
+// reachedFor is how long an answer of a primary speaks for it: a few VMs always
+// have one that recent while it serves.
+const reachedFor = 500 * time.Millisecond
 
 // share divides the rates and connections by what was heard.
 func (n *news) share(now time.Time) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -261,7 +261,7 @@
 		journaler.Organisation(u.Organisation), journaler.Group(u.Route.Group), journaler.F("route-kind", u.Route.Kind),
 		journaler.F("writes", u.Writes), journaler.F("waited", now.Sub(u.Began)), journaler.F("tried", tried),
 		journaler.Primary(primary), journaler.Term(term), journaler.F("primary-known", known),
-		journaler.F("confirmed-age", now.Sub(d.Observer.Confirmed(u.Route.Group)))}, u.trace.fields()...)...)
+		journaler.F("vouched-for", d.Observer.Confirmed(u.Route.Group).Sub(now))}, u.trace.fields()...)...)
 	return refuse(phraser.Busy, coder.QueueTimeout, why)
 }
 
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// surveyWithin bounds the first look at the terms of a group; an instance
+	// that is too busy to answer says its term when it is stopped.
+	surveyWithin = 150 * time.Millisecond
 	// promotedWithin is how long an instance may take to lead once it was named.
 	promotedWithin = 3 * time.Second
 	// promotedPoll is how often it is asked whether it leads.
@@ -35,7 +38,9 @@
 	instances := s.Observer.Instances(group)
 	formerID, known, _ := s.Observer.Primary(group)
 	newest := known
-	for _, w := range s.survey(ctx, instances, phraser.Statement{Kind: phraser.Status}) {
+	quick, cancel := context.WithTimeout(ctx, surveyWithin)
+	defer cancel()
+	for _, w := range s.survey(quick, instances, phraser.Statement{Kind: phraser.Status}) {
 		if w.Status != nil {
 			newest = max(newest, w.Status.Term, w.Status.PausedFor)
 		}
--- a/switcher/view.go
+++ b/switcher/view.go
@@ -30,8 +30,8 @@
 
 const (
 	// lostAfter is the time without service after which a primary is replaced:
-	// longer than a lost packet's repetition, a fifth of what a failover may take.
-	lostAfter = 700 * time.Millisecond
+	// longer than a lost packet's repetition takes.
+	lostAfter = 500 * time.Millisecond
 	// leaderlessAfter leaves an instance that has just been promoted time to say so.
 	leaderlessAfter = 1500 * time.Millisecond
 	// unfinishedAfter is how long the VM that began a replacement may take.
