--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/measurer"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/sharer"
@@ -26,6 +27,7 @@
 	newState,
 	func(p Parts) *journaler.Journaler { return journaler.New(p.Log, p.Clock) },
 	cataloguer.NewHolder,
+	measurer.New,
 	newObserver,
 	sharer.New,
 	newBorrower,
@@ -95,8 +97,8 @@
 }
 
 // newDispatcher returns a dispatcher without instances.
-func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, b *borrower.Borrower, j *journaler.Journaler) *dispatcher.Dispatcher {
-	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Borrower: b, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j})
+func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, b *borrower.Borrower, j *journaler.Journaler, m *measurer.Measurer) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Borrower: b, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
 }
 
 // newSessions returns a server without callers.
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
@@ -91,7 +89,6 @@
 
 // operatorHandler answers operators.
 func (p *Proxy) operatorHandler() http.Handler {
-	set := metrics.NewSet()
 	gauges := []struct {
 		name  string
 		value func(d Dump) float64
@@ -106,10 +103,10 @@
 		{"marigoldgauge_log_lines_left_out_total", func(d Dump) float64 { return float64(d.Lines) }},
 	}
 	for _, g := range gauges {
-		set.NewGauge(g.name, func() float64 { return g.value(p.Dump()) })
+		p.Measurer.Gauge(g.name, func() float64 { return g.value(p.Dump()) })
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.Measurer.Write(w) })
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An operator who has gone away asks again.
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/measurer"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/sharer"
@@ -33,6 +34,7 @@
 
 	Parts      Parts
 	Journal    *journaler.Journaler
+	Measurer   *measurer.Measurer
 	Catalogue  *cataloguer.Holder
 	Observer   *observer.Observer
 	Sharer     *sharer.Sharer
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -142,7 +142,13 @@
 // Run runs a single statement outside a transaction.
 func (d *Dispatcher) Run(ctx context.Context, u Unit) phraser.Answer {
 	u.trace = &trace{}
-	defer d.noteSlow(u)
+	a := d.run(ctx, u)
+	d.note(u, a)
+	return a
+}
+
+// run admits and runs a single statement.
+func (d *Dispatcher) run(ctx context.Context, u Unit) phraser.Answer {
 	if a, ok := d.admit(ctx, u); !ok {
 		return a
 	}
@@ -153,9 +159,13 @@
 	})
 }
 
-// noteSlow records a unit that took longer than the target of its route.
-func (d *Dispatcher) noteSlow(u Unit) {
+// note counts a unit, and records one that took longer than the target of its route.
+func (d *Dispatcher) note(u Unit, a phraser.Answer) {
 	took := d.Clock.Now().Sub(u.Began)
+	d.Measurer.Request(u.Route.Kind.String(), a.Result.String(), took)
+	for part, t := range u.trace.parts() {
+		d.Measurer.Part(part, t)
+	}
 	if took <= u.Route.Target {
 		return
 	}
--- a/dispatcher/parts.go
+++ b/dispatcher/parts.go
@@ -24,6 +24,16 @@
 	Clock clocker.Clock
 	// Journal takes the decisions that touch a request.
 	Journal Journal
+	// Measurer counts what became of requests.
+	Measurer Measurer
+}
+
+// Measurer counts what became of requests.
+type Measurer interface {
+	// Request counts a request of a kind of route that ended with a result.
+	Request(route, result string, took time.Duration)
+	// Part measures a part of a request.
+	Part(part string, took time.Duration)
 }
 
 // Borrower finds tokens that other VMs lend.
--- a/dispatcher/trace.go
+++ b/dispatcher/trace.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"iter"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -29,3 +30,10 @@
 		journaler.F("dialled", t.dialled), journaler.F("attempts", t.attempts), journaler.F("last", t.last), journaler.Instance(t.instance),
 	}
 }
+
+// parts yields the parts of the time that a unit took.
+func (t *trace) parts() iter.Seq2[string, time.Duration] {
+	return func(yield func(string, time.Duration) bool) {
+		_ = yield("admission", t.admission) && yield("placing", t.placing) && yield("linking", t.linking) && yield("running", t.running)
+	}
+}
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -30,7 +30,13 @@
 // Open begins a transaction; without one the answer tells why.
 func (d *Dispatcher) Open(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
 	u.trace = &trace{}
-	defer d.noteSlow(u)
+	t, a := d.begin(ctx, u)
+	d.note(u, a)
+	return t, a
+}
+
+// begin admits a transaction and begins it at an instance.
+func (d *Dispatcher) begin(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
 	if a, ok := d.admit(ctx, u); !ok {
 		return nil, a
 	}
