--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -102,11 +102,7 @@
 		t.Run(tt.lag.String(), func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			length := time.Minute
-			if underRace {
-				length = 15 * time.Second
-			}
-			f := run(t, demonstrator.Options{Deployment: "lepidlo", For: length, Callers: 32, WriteShare: 0.05, Offered: 0.25, Lag: tt.lag, Seed: 1})
+			f := run(t, demonstrator.Options{Deployment: "lepidlo", For: time.Minute, Callers: 32, WriteShare: 0.05, Offered: 0.25, Lag: tt.lag, Seed: 1})
 			t.Logf("lag=%s replica-read-share=%.3f naive=%.3f", tt.lag, f.ReplicaShare(), f.NaiveShare)
 			g.Expect(f.Broken()).To(BeFalse())
 			g.Expect(f.ReplicaShare()).To(BeNumerically(">=", tt.least))
