perf: fewer store calls at starts and after changes

Change: a VM that finds its entry from an earlier process leaves it; changes that come in a row are read by one call; watches of a large fleet wait 8 s.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -33,6 +33,8 @@
 	// A connection that went silent is noticed within it. Meanwhile other VMs
 	// tell of later configurations.
 	watchFor = 4 * time.Second
+	// watchForLarge is that time in a large fleet, where many VMs watch.
+	watchForLarge = 8 * time.Second
 	// catchUpAfter is how long a later configuration that another VM told of is
 	// waited for from the store, before it is fetched from that VM.
 	catchUpAfter = 300 * time.Millisecond
@@ -52,10 +54,18 @@
 
 // follow follows a prefix of the store.
 func (p *Proxy) follow(ctx context.Context, prefix string, apply func(asOf time.Time, revision uint64, objects map[string]keeper.Object)) error {
-	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Hold: p.hold}
+	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Hold: p.hold}
 	return f.Run(ctx)
 }
 
+// watchFor returns how long one watch waits.
+func (p *Proxy) watchFor() time.Duration {
+	if p.Gossiper.IsLarge() {
+		return watchForLarge
+	}
+	return watchFor
+}
+
 // reached notes whether the store answered.
 func (p *Proxy) reached(now time.Time, err error) {
 	if err == nil {
@@ -237,8 +247,7 @@
 
 // registration is a VM's entry in the store.
 type registration struct {
-	Peers       netip.AddrPort `json:"peers"`
-	Incarnation uint64         `json:"incarnation"`
+	Peers netip.AddrPort `json:"peers"`
 }
 
 // register enters this VM in the store and finds the others there.
@@ -249,12 +258,14 @@
 		}
 	}
 	for {
-		page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
 		pause := relistEvery
-		if err == nil {
-			p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
-		} else {
-			pause = registerRetry
+		if !p.Gossiper.Seeded(p.Parts.Clock.Now(), relistEvery/2) {
+			page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
+			if err == nil {
+				p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
+			} else {
+				pause = registerRetry
+			}
 		}
 		if !wait(ctx, pause) {
 			return nil
@@ -274,21 +285,39 @@
 	}
 }
 
-// enter writes this VM's entry and reports whether it lies in the store.
+// enter writes this VM's entry, unless it lies there since an earlier process,
+// and reports whether it does now.
 func (p *Proxy) enter(ctx context.Context) bool {
 	store, key := p.Parts.Adapter.Store(), vmsPrefix+p.Parts.Settings.VM.ID
-	value, err := json.Marshal(registration{Peers: p.Parts.Settings.Listen.Peers, Incarnation: p.State.incarnation})
+	value, err := json.Marshal(registration{Peers: p.Parts.Settings.Listen.Peers})
 	if err != nil {
 		panic(eris.Wrap(err, "encoding the registration"))
 	}
 	_, err = store.Put(ctx, key, value, keeper.Condition{Absent: true})
 	if errors.Is(err, keeper.ErrConflict) {
-		_, err = store.Put(ctx, key, value, keeper.Condition{})
+		err = p.reenter(ctx, key, value)
 	}
 	p.reached(p.Parts.Clock.Now(), err)
 	return err == nil
 }
 
+// reenter replaces the entry of an earlier process that had another address.
+func (p *Proxy) reenter(ctx context.Context, key string, value []byte) error {
+	page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
+	if err != nil {
+		return err
+	}
+	p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
+	for _, o := range page.Objects {
+		var r registration
+		if o.Key == key && json.Unmarshal(o.Value, &r) == nil && r.Peers == p.Parts.Settings.Listen.Peers {
+			return nil
+		}
+	}
+	_, err = p.Parts.Adapter.Store().Put(ctx, key, value, keeper.Condition{})
+	return err
+}
+
 // addresses returns where the other VMs of the register take messages, by name.
 func (p *Proxy) addresses(page keeper.Page) map[string]netip.AddrPort {
 	out := map[string]netip.AddrPort{}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,8 @@
 	// within which a change must be noticed once the store is back.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// gather is the pause after a change.
+	gather = 150 * time.Millisecond
 	// holdStep is how often it is looked whether the store is still left alone.
 	holdStep = 500 * time.Millisecond
 )
@@ -26,8 +28,8 @@
 	Store Store
 	// Prefix is what is followed.
 	Prefix string
-	// Wait is how long one watch waits; a silent connection is noticed within it.
-	Wait time.Duration
+	// Wait returns how long one watch waits; a silent connection is noticed within it.
+	Wait func() time.Duration
 	// Clock tells the present time.
 	Clock clocker.Clock
 	// Apply takes the whole copy after each change, with the time and the
@@ -100,7 +102,7 @@
 		f.Apply(asked, f.revision, f.objects)
 		return nil
 	}
-	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait)
+	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait())
 	if err != nil {
 		return err
 	}
@@ -110,6 +112,10 @@
 	}
 	f.merge(page)
 	f.Apply(asked, f.revision, f.objects)
+	if len(page.Objects) > 0 {
+		// Changes often come in a row; one call then brings several.
+		sleep(ctx, gather)
+	}
 	return nil
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -57,7 +57,7 @@
 	got := map[string]uint64{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := follower.Follower{Store: s, Prefix: "k/", Wait: 4 * time.Second, Clock: clocker.Func(time.Now), Hold: hold,
+		f := follower.Follower{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: clocker.Func(time.Now), Hold: hold,
 			Reached: func(time.Time, error) {},
 			Apply: func(_ time.Time, _ uint64, objects map[string]keeper.Object) {
 				clear(got)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -58,6 +58,7 @@
 	peers    map[string]*Peer
 	seeds    map[string]seed
 	seeded   bool
+	seededAt time.Time
 	sequence uint64
 	toldFar  time.Time
 }
@@ -90,7 +91,14 @@
 	if !g.seeded {
 		defer g.Hurry()
 	}
-	g.seeds, g.seeded = seeds, true
+	g.seeds, g.seeded, g.seededAt = seeds, true, now
+}
+
+// Seeded reports whether the VMs of the fleet were named within a time.
+func (g *Gossiper) Seeded(now time.Time, within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.seeded && now.Sub(g.seededAt) < within
 }
 
 // Expected returns the number of VMs that belong to the fleet and may yet be
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -88,12 +88,14 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		v.step(ctx, v.Clock.Now())
+		// The others are heard within the first interval; until then each would
+		// take itself for the first.
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
 		}
+		v.step(ctx, v.Clock.Now())
 	}
 }
 
