--- /dev/null
+++ b/assembler/catchingup.go
@@ -0,0 +1,129 @@
+package assembler
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+)
+
+// pack packs a configuration for other VMs.
+func pack(raw []byte) *[]byte {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err == nil {
+		_, err = w.Write(raw)
+		err = errors.Join(err, w.Close())
+	}
+	if err != nil {
+		// The level is valid and a buffer takes all.
+		panic(eris.Wrap(err, "packing the configuration"))
+	}
+	packed := b.Bytes()
+	return &packed
+}
+
+// spread tells the other VMs of news from the store at once. Far ones hear of it
+// from watchers of their own.
+func (p *Proxy) spread() {
+	if p.State.watches.Load() {
+		p.Gossiper.HurryNear()
+	}
+}
+
+// catchUp fetches what other VMs know later: this one may leave the store alone,
+// or be turned away by it.
+func (p *Proxy) catchUp(ctx context.Context) error {
+	ticker := time.NewTicker(catchUpAfter)
+	defer ticker.Stop()
+	behind := gossiper.Message{}
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		own := p.Catalogue.Version()
+		alive := p.Gossiper.Alive(p.Parts.Clock.Now())
+		// Any of those that know it will do, so that not all ask the same.
+		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+		var version, list gossiper.Peer
+		for _, peer := range alive {
+			if peer.Version > max(own, version.Version) {
+				version = peer
+			}
+			if peer.Listing > max(p.State.listing.Load(), list.Listing) {
+				list = peer
+			}
+		}
+		holds := !p.State.watches.Load()
+		if version.Version > 0 && (holds || version.Version == behind.Version) {
+			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
+		}
+		if list.Listing > 0 && (holds || list.Listing == behind.Listing) {
+			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
+		}
+		behind.Version, behind.Listing = version.Version, list.Listing
+	}
+}
+
+// note records an error in dealing with another VM.
+func (p *Proxy) note(decision, vm string, err error) {
+	if err != nil {
+		p.Journal.Belief(decision, journaler.Source(vm), journaler.Err(err))
+	}
+}
+
+// fetchCatalogue takes the configuration of another VM.
+func (p *Proxy) fetchCatalogue(ctx context.Context, from gossiper.Peer) error {
+	raw, err := p.fetch(ctx, from, cataloguePath)
+	if err == nil {
+		p.takeCatalogue(raw, from.Name)
+	}
+	return err
+}
+
+// fetchListing takes the list of instances of another VM.
+func (p *Proxy) fetchListing(ctx context.Context, from gossiper.Peer) error {
+	raw, err := p.fetch(ctx, from, listingPath)
+	if err != nil {
+		return err
+	}
+	var l listing
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return eris.Wrap(err, "decoding the list of instances")
+	}
+	p.takeListing(&l)
+	return nil
+}
+
+// fetch asks another VM for what it knows.
+func (p *Proxy) fetch(ctx context.Context, from gossiper.Peer, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address.String()+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "building the request")
+	}
+	resp, err := p.State.peers.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "asking another VM")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("the VM answered with status %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCatalogue))
+	return raw, eris.Wrap(err, "reading the answer")
+}
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -1,27 +1,15 @@
 package assembler
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"maps"
-	"math/rand/v2"
-	"net/http"
-	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/follower"
-	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
@@ -120,22 +108,6 @@
 		journaler.F("organisations", len(c.Organisations)), journaler.Source(source))
 }
 
-// pack packs a configuration for other VMs.
-func pack(raw []byte) *[]byte {
-	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-	if err == nil {
-		_, err = w.Write(raw)
-		err = errors.Join(err, w.Close())
-	}
-	if err != nil {
-		// The level is valid and a buffer takes all.
-		panic(eris.Wrap(err, "packing the configuration"))
-	}
-	packed := b.Bytes()
-	return &packed
-}
-
 // shape tells the parts what the configuration says.
 func (p *Proxy) shape(c *cataloguer.Catalogue) {
 	limits := make(map[string]limiter.Limit, len(c.Organisations))
@@ -187,14 +159,6 @@
 	p.spread()
 }
 
-// spread tells the other VMs of news from the store at once. Far ones hear of it
-// from watchers of their own.
-func (p *Proxy) spread() {
-	if p.State.watches.Load() {
-		p.Gossiper.HurryNear()
-	}
-}
-
 // watchers is the number of VMs of an availability zone that watch the store.
 const watchers = 2
 
@@ -244,178 +208,3 @@
 	p.Journal.Belief(decision, journaler.Instance(i.ID), journaler.Group(i.Group),
 		journaler.F("address", i.Address), journaler.F("leads", i.Leads), journaler.F("leaving", i.Leaving))
 }
-
-// registration is a VM's entry in the store.
-type registration struct {
-	Peers netip.AddrPort `json:"peers"`
-}
-
-// register enters this VM in the store and finds the others there.
-func (p *Proxy) register(ctx context.Context) error {
-	for !p.enter(ctx) {
-		if !wait(ctx, registerRetry) {
-			return nil
-		}
-	}
-	for {
-		pause := relistEvery
-		if !p.Gossiper.Seeded(p.Parts.Clock.Now(), relistEvery/2) {
-			page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
-			if err == nil {
-				p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
-			} else {
-				pause = registerRetry
-			}
-		}
-		if !wait(ctx, pause) {
-			return nil
-		}
-	}
-}
-
-// wait waits and reports whether ctx is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// enter writes this VM's entry, unless it lies there since an earlier process,
-// and reports whether it does now.
-func (p *Proxy) enter(ctx context.Context) bool {
-	store, key := p.Parts.Adapter.Store(), vmsPrefix+p.Parts.Settings.VM.ID
-	value, err := json.Marshal(registration{Peers: p.Parts.Settings.Listen.Peers})
-	if err != nil {
-		panic(eris.Wrap(err, "encoding the registration"))
-	}
-	_, err = store.Put(ctx, key, value, keeper.Condition{Absent: true})
-	if errors.Is(err, keeper.ErrConflict) {
-		err = p.reenter(ctx, key, value)
-	}
-	p.reached(p.Parts.Clock.Now(), err)
-	return err == nil
-}
-
-// reenter replaces the entry of an earlier process that had another address.
-func (p *Proxy) reenter(ctx context.Context, key string, value []byte) error {
-	page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
-	if err != nil {
-		return err
-	}
-	p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
-	for _, o := range page.Objects {
-		var r registration
-		if o.Key == key && json.Unmarshal(o.Value, &r) == nil && r.Peers == p.Parts.Settings.Listen.Peers {
-			return nil
-		}
-	}
-	_, err = p.Parts.Adapter.Store().Put(ctx, key, value, keeper.Condition{})
-	return err
-}
-
-// addresses returns where the other VMs of the register take messages, by name.
-func (p *Proxy) addresses(page keeper.Page) map[string]netip.AddrPort {
-	out := map[string]netip.AddrPort{}
-	for _, o := range page.Objects {
-		var r registration
-		if err := json.Unmarshal(o.Value, &r); err != nil || !r.Peers.IsValid() {
-			p.Journal.Belief("registration-passed-over", journaler.F("key", o.Key))
-			continue
-		}
-		if r.Peers != p.Parts.Settings.Listen.Peers {
-			out[strings.TrimPrefix(o.Key, vmsPrefix)] = r.Peers
-		}
-	}
-	return out
-}
-
-// catchUp fetches what other VMs know later: this one may leave the store alone,
-// or be turned away by it.
-func (p *Proxy) catchUp(ctx context.Context) error {
-	ticker := time.NewTicker(catchUpAfter)
-	defer ticker.Stop()
-	behind := gossiper.Message{}
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-		own := p.Catalogue.Version()
-		alive := p.Gossiper.Alive(p.Parts.Clock.Now())
-		// Any of those that know it will do, so that not all ask the same.
-		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-		var version, list gossiper.Peer
-		for _, peer := range alive {
-			if peer.Version > max(own, version.Version) {
-				version = peer
-			}
-			if peer.Listing > max(p.State.listing.Load(), list.Listing) {
-				list = peer
-			}
-		}
-		holds := !p.State.watches.Load()
-		if version.Version > 0 && (holds || version.Version == behind.Version) {
-			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
-		}
-		if list.Listing > 0 && (holds || list.Listing == behind.Listing) {
-			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
-		}
-		behind.Version, behind.Listing = version.Version, list.Listing
-	}
-}
-
-// note records an error in dealing with another VM.
-func (p *Proxy) note(decision, vm string, err error) {
-	if err != nil {
-		p.Journal.Belief(decision, journaler.Source(vm), journaler.Err(err))
-	}
-}
-
-// fetchCatalogue takes the configuration of another VM.
-func (p *Proxy) fetchCatalogue(ctx context.Context, from gossiper.Peer) error {
-	raw, err := p.fetch(ctx, from, cataloguePath)
-	if err == nil {
-		p.takeCatalogue(raw, from.Name)
-	}
-	return err
-}
-
-// fetchListing takes the list of instances of another VM.
-func (p *Proxy) fetchListing(ctx context.Context, from gossiper.Peer) error {
-	raw, err := p.fetch(ctx, from, listingPath)
-	if err != nil {
-		return err
-	}
-	var l listing
-	if err := json.Unmarshal(raw, &l); err != nil {
-		return eris.Wrap(err, "decoding the list of instances")
-	}
-	p.takeListing(&l)
-	return nil
-}
-
-// fetch asks another VM for what it knows.
-func (p *Proxy) fetch(ctx context.Context, from gossiper.Peer, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address.String()+path, nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "building the request")
-	}
-	resp, err := p.State.peers.Do(req)
-	if err != nil {
-		return nil, eris.Wrap(err, "asking another VM")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("the VM answered with status %d", resp.StatusCode)
-	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCatalogue))
-	return raw, eris.Wrap(err, "reading the answer")
-}
--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,51 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+// admit takes a token of the organisation's rate, waiting a moment for it if need be.
+func (d *Dispatcher) admit(ctx context.Context, u Unit) (phraser.Answer, bool) {
+	longest := u.Route.Target / admitShare
+	if u.Route.Priority > urgent {
+		longest = u.Route.Target / admitShareLater
+	}
+	began := d.Clock.Now()
+	defer func() { u.trace.admission = d.Clock.Now().Sub(began) }()
+	d.Sharer.Ask(u.Organisation)
+	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, 0)
+	if !ok {
+		wait, ok = d.Borrower.Borrow(ctx, u.Organisation, longest)
+	}
+	if !ok {
+		wait, ok = d.Sharer.Admit(d.Clock.Now(), u.Organisation, longest)
+	}
+	if !ok {
+		share, demand := d.Sharer.Share(u.Organisation)
+		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation),
+			journaler.F("share", share), journaler.F("demand", demand), journaler.F("retry-after", wait))
+		return refuse(phraser.Busy, coder.OverRate, "over the rate, retry after "+wait.Round(time.Millisecond).String()), false
+	}
+	if wait > 0 {
+		clocker.Sleep(ctx, wait)
+	}
+	return phraser.Answer{}, true
+}
+
+const (
+	// urgent is the largest priority number of what is urgent; 0 goes first.
+	urgent = 1
+	// admitShare is the part of a route's target for which an urgent operation
+	// waits for its token; what remains is enough to be served in time.
+	admitShare = 2
+	// admitShareLater is that part for all others, so that of an organisation at
+	// its limit the urgent operations find the tokens.
+	admitShareLater = 8
+)
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
@@ -43,7 +44,7 @@
 			return false
 		}
 		if !r.asked.Before(asOf) && d.Observer.Confirmed(group).Before(asOf) {
-			if !pause(ctx, pollEvery) {
+			if !clocker.Sleep(ctx, pollEvery) {
 				return false
 			}
 		}
@@ -81,7 +82,7 @@
 	d.rounds[group] = r
 	due := d.surveyed[group].Add(surveyEvery)
 	d.background.Go(func() error {
-		pause(context.Background(), due.Sub(d.Clock.Now()))
+		clocker.Sleep(context.Background(), due.Sub(d.Clock.Now()))
 		d.mu.Lock()
 		r.asked = d.Clock.Now()
 		d.surveyed[group] = r.asked
--- /dev/null
+++ b/dispatcher/exchange.go
@@ -0,0 +1,153 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+
+	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// attempt runs a statement on one instance; done is false when it may be tried again.
+func (d *Dispatcher) attempt(ctx context.Context, u Unit, i observer.Instance, after tracker.Position) (a phraser.Answer, done bool) {
+	w := d.watch(ctx, u, i)
+	link, a, err := d.open(ctx, u, i, after)
+	if link != nil {
+		link.Release(d.Clock.Now(), err == nil)
+	}
+	return d.judge(u, i, a, err, link != nil, u.Writes || w.wait())
+}
+
+// open gets a connection and runs the statement on it; link is nil when it was not sent.
+func (d *Dispatcher) open(ctx context.Context, u Unit, i observer.Instance, after tracker.Position) (*connector.Link, phraser.Answer, error) {
+	d.Observer.Begin(i)
+	link, a := d.link(ctx, u, i)
+	if link == nil {
+		return nil, a, nil
+	}
+	s := u.Statement
+	s.After = after
+	a, err := d.exchange(ctx, u, i, link, s)
+	return link, a, err
+}
+
+// link gets a connection that carries the caller's session.
+func (d *Dispatcher) link(ctx context.Context, u Unit, i observer.Instance) (*connector.Link, phraser.Answer) {
+	pool := d.pool(i.ID)
+	if pool == nil {
+		d.Observer.Abandon(i)
+		return nil, phraser.Refuse(phraser.Moved, "the instance is gone")
+	}
+	began := d.Clock.Now()
+	link, err := pool.Acquire(ctx, u.Organisation, u.Route.Priority, u.Route.Target/connectShare)
+	u.trace.linking += d.Clock.Now().Sub(began)
+	if link != nil && link.Fresh() {
+		u.trace.dialled++
+	}
+	if err == nil {
+		err = d.adopt(ctx, u, link)
+		if err == nil {
+			return link, phraser.Answer{}
+		}
+		link.Release(d.Clock.Now(), false)
+	}
+	var refusal *connector.Refusal
+	if errors.As(err, &refusal) {
+		d.Observer.End(d.Clock.Now(), d.Clock.Now(), i, phraser.Answer{Result: refusal.Result})
+		return nil, phraser.Refuse(refusal.Result, refusal.Detail)
+	}
+	if errors.Is(err, connector.ErrNoRoom) {
+		d.Observer.Abandon(i)
+		st := pool.Stats()
+		d.Journal.Request("no-connection", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("open", st.Open), journaler.F("idle", st.Idle),
+			journaler.F("dialling", st.Dialling), journaler.F("waiting", st.Waiting), journaler.F("share", st.Share), journaler.F("full-times", st.FullTimes))
+		return nil, phraser.Refuse(phraser.Full, err.Error())
+	}
+	d.Observer.Fail(d.Clock.Now(), i)
+	d.Journal.Request("instance-failed", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.Err(err))
+	return nil, phraser.Refuse(phraser.Busy, err.Error())
+}
+
+// connectShare is the part of a route's target within which a connection must
+// be found; then another instance is tried.
+const connectShare = 2
+
+// adopt prepares a connection for the caller's session.
+func (d *Dispatcher) adopt(ctx context.Context, u Unit, link *connector.Link) error {
+	if err := link.Adopt(ctx, u.Values); err != nil {
+		return err
+	}
+	if u.Definition == nil {
+		return nil
+	}
+	return link.Prepare(ctx, u.Definition.name(), u.Definition.Writes, u.Definition.Shape)
+}
+
+// exchange sends a statement and tells the observer how it went.
+func (d *Dispatcher) exchange(ctx context.Context, u Unit, i observer.Instance, link *connector.Link, s phraser.Statement) (phraser.Answer, error) {
+	if s.Kind == phraser.Execute && u.Definition != nil {
+		s.Name = u.Definition.name()
+	}
+	sent := d.Clock.Now()
+	a, err := link.Exchange(ctx, s)
+	now := d.Clock.Now()
+	if u.trace != nil {
+		u.trace.running += now.Sub(sent)
+	}
+	if err != nil {
+		d.Observer.Fail(now, i)
+		if commits(u, s.Kind) {
+			d.Observer.Stuck(sent, i)
+		}
+		d.Journal.Request("exchange-broken", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group),
+			journaler.F("kind", s.Kind), journaler.F("after", now.Sub(sent)), journaler.Err(err))
+		return a, err
+	}
+	d.Observer.End(now, sent, i, a)
+	if a.Result == phraser.Done && commits(u, s.Kind) && d.syncs(i.Group) {
+		d.Observer.Committed(sent, i)
+	}
+	if a.Result == phraser.Unprepared && s.Kind == phraser.Execute {
+		link.Forget(s.Name)
+	}
+	return a, nil
+}
+
+// commits reports whether a statement of a unit ends in a commit that replicas take part in.
+func commits(u Unit, k phraser.Kind) bool {
+	return u.Writes && (k == phraser.Write || k == phraser.Execute || k == phraser.Commit)
+}
+
+// syncs reports whether a commit of a group waits for a replica.
+func (d *Dispatcher) syncs(group string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.groups[group].SyncReplicas > 0
+}
+
+// judge decides what an attempt means for the caller.
+func (d *Dispatcher) judge(u Unit, i observer.Instance, a phraser.Answer, err error, sent, confirmed bool) (phraser.Answer, bool) {
+	if err != nil && u.Writes && sent {
+		d.Journal.Request("in-doubt", u.Statement.ID, journaler.Code(coder.OutcomeUnknown), journaler.Instance(i.ID), journaler.Err(err))
+		return refuse(phraser.InDoubt, coder.OutcomeUnknown, "the instance did not answer"), true
+	}
+	if err != nil {
+		return phraser.Refuse(phraser.TimedOut, err.Error()), false
+	}
+	if !confirmed {
+		return phraser.Refuse(phraser.Other, "the primary is not confirmed"), false
+	}
+	if a.Result == phraser.Done {
+		return a, true
+	}
+	if a.Result.DidNotRun() {
+		return a, false
+	}
+	d.Journal.Request("failed", u.Statement.ID, journaler.F("result", a.Result), journaler.Instance(i.ID), journaler.F("detail", a.Detail))
+	return a, true
+}
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
@@ -104,7 +105,7 @@
 		t.d.Observer.Begin(t.at)
 		a, err := t.d.exchange(ctx, sent, t.at, t.link, s)
 		again := err == nil && a.State == phraser.InTransaction && (a.Result == phraser.Busy || a.Result == phraser.Unprepared)
-		if !again || !pause(ctx, pollEvery) {
+		if !again || !clocker.Sleep(ctx, pollEvery) {
 			return a, err
 		}
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,7 +51,7 @@
 	for ctx.Err() == nil {
 		if f.objects != nil && f.Hold != nil && f.Hold(f.Clock.Now()) {
 			f.held = true
-			if !sleep(ctx, holdStep) {
+			if !clocker.Sleep(ctx, holdStep) {
 				return nil
 			}
 			continue
@@ -69,7 +69,7 @@
 			pause = retryFirst
 			continue
 		}
-		if !sleep(ctx, pause/2+rand.N(pause)) {
+		if !clocker.Sleep(ctx, pause/2+rand.N(pause)) {
 			return nil
 		}
 		pause = min(2*pause, retryMost)
@@ -77,18 +77,6 @@
 	return nil
 }
 
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // step makes one call and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
 	asked := f.Clock.Now()
@@ -114,7 +102,7 @@
 	f.Apply(asked, f.revision, f.objects)
 	if len(page.Objects) > 0 {
 		// Changes often come in a row; one call then brings several.
-		sleep(ctx, gather)
+		clocker.Sleep(ctx, gather)
 	}
 	return nil
 }
--- a/sessioner/server.go
+++ b/sessioner/server.go
@@ -127,10 +127,5 @@
 
 // sleepUntil waits until a time or the end of ctx.
 func sleepUntil(ctx context.Context, at time.Time) {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	clocker.Sleep(ctx, time.Until(at))
 }
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 
 	"github.com/rotisserie/eris"
@@ -162,7 +163,7 @@
 			}
 			return nil
 		}
-		time.Sleep(promotedPoll)
+		clocker.Sleep(ctx, promotedPoll)
 	}
 	return errUnproved
 }
