--- /dev/null
+++ b/loader/hosted_test.go
@@ -0,0 +1,42 @@
+package loader_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/loader"
+)
+
+func TestHosted(t *testing.T) {
+	g := NewWithT(t)
+	h, err := loader.LoadHosted("testdata/hosted.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.Lease).To(Equal(4 * time.Second))
+	g.Expect(h.Listen.Peers.String()).To(Equal("10.1.0.26:7560"))
+	g.Expect(h.Log.Level).To(Equal("info"))
+}
+
+func TestRefusedHosted(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"a field that the platform did not fill", `store: "10.200.1.7:8466"`, `store: ""`, "platform.store is missing"},
+		{"wrong type", "descriptors: 4200", "descriptors: many", "hosted.yaml:"},
+		{"no address", `callers: "10.1.0.26:8465"`, `callers: "somewhere"`, "hosted.yaml:"},
+		{"unknown field", `grace: "6s"`, `graec: "6s"`, `did you mean "grace"?`},
+		{"too short", `lease: "4000ms"`, `lease: "4ms"`, "lease must be a second or more"},
+		{"no name", `id: "edge-1"`, `id: ""`, "vm.id is missing"},
+	}
+	raw, err := os.ReadFile("testdata/hosted.yaml")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(string(raw)).To(ContainSubstring(tt.old))
+			_, err := loader.ParseHosted("hosted.yaml", []byte(strings.Replace(string(raw), tt.old, tt.new, 1)))
+			g.Expect(err).To(MatchError(And(ContainSubstring("MG-101"), ContainSubstring(tt.want))))
+		})
+	}
+}
