perf: wait while others hold the connections of an instance

Cause: for 3 s after a loss of power instances keep the connections of processes that are gone; units were refused after half of their target and used their callers' retries up before there was room. Change: a unit is refused for want of a connection only where this VM uses its own share; otherwise it waits within the time of its route.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -32,7 +32,7 @@
 			return a
 		}
 		last = ", last " + a.Result.String() + " at " + i.ID
-		if a.Result == phraser.Full && d.Clock.Now().Sub(u.Began) > u.Route.Target/saturatedShare {
+		if a.Result == phraser.Full && d.saturated(i) && d.Clock.Now().Sub(u.Began) > u.Route.Target/saturatedShare {
 			return d.giveUp(d.Clock.Now(), u, tried, "no connection is free in time"+last)
 		}
 		tried = append(tried, i.ID)
@@ -127,3 +127,15 @@
 
 // stalenessMargin is left of a route's staleness for the way to the instance.
 const stalenessMargin = 100 * time.Millisecond
+
+// saturated reports whether this VM uses its share of an instance's connections
+// up. If not, others hold them, most of all processes that are gone, whose
+// connections an instance keeps for some seconds; they will be free soon.
+func (d *Dispatcher) saturated(i observer.Instance) bool {
+	p := d.pool(i.ID)
+	if p == nil {
+		return false
+	}
+	st := p.Stats()
+	return st.Open >= st.Share
+}
