--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -11,11 +11,10 @@
 	"net/http"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 )
 
 // pack packs a configuration for other VMs.
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -6,10 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/follower"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -107,6 +107,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.Measurer.Write(w) })
+	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An operator who has gone away asks again.
+		_ = json.NewEncoder(w).Encode(p.Journal.Events(r.URL.Query().Get("about")))
+	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An operator who has gone away asks again.
--- a/assembler/registering.go
+++ b/assembler/registering.go
@@ -7,11 +7,10 @@
 	"net/netip"
 	"strings"
 
-	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 )
 
--- a/assembler/reloading.go
+++ b/assembler/reloading.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/loader"
 )
 
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -5,9 +5,8 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 )
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,13 +13,12 @@
 	"sync"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -4,10 +4,9 @@
 	"context"
 	"errors"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -5,10 +5,9 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -22,6 +22,8 @@
 const (
 	// ringLength is the number of lines that wait to be written.
 	ringLength = 1024
+	// keptEvents is the number of decisions kept for operators.
+	keptEvents = 512
 	// reportEvery is how often left-out lines are reported.
 	reportEvery = time.Second
 )
@@ -47,6 +49,8 @@
 	budgets map[string]*limiter.Bucket
 	dropped map[string]uint64
 	total   uint64
+	events  []Event
+	next    int
 }
 
 // New returns a Journaler that writes to a log.
@@ -74,7 +78,9 @@
 		j.budgets[decision] = b
 	}
 	_, ok := b.Reserve(now, 0)
-	if !ok {
+	if ok {
+		j.keep(Event{At: now, Decision: decision, Fields: fields})
+	} else {
 		j.drop(decision)
 	}
 	j.mu.Unlock()
@@ -90,6 +96,30 @@
 	}
 }
 
+// keep remembers a decision in place of the oldest. The lock is held.
+func (j *Journaler) keep(e Event) {
+	if len(j.events) < keptEvents {
+		j.events = append(j.events, e)
+		return
+	}
+	j.events[j.next] = e
+	j.next = (j.next + 1) % keptEvents
+}
+
+// Events returns the last decisions that name a value, or all when it is empty,
+// in order of time.
+func (j *Journaler) Events(about string) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := []Event{}
+	for n := range j.events {
+		if e := j.events[(j.next+n)%len(j.events)]; e.names(about) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // drop counts a line that is left out. The lock is held.
 func (j *Journaler) drop(decision string) {
 	j.dropped[decision]++
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -10,13 +10,12 @@
 	"errors"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
--- a/switcher/inspect.go
+++ b/switcher/inspect.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 )
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/clocker"
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -11,11 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/marigoldgauge/marigoldgauge/journaler"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/placer"
 )
