--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// sound waits for one round of questions to a group.
-func (d *Dispatcher) sound(ctx context.Context, group string) {
+// awaitRound waits for one round of questions to a group.
+func (d *Dispatcher) awaitRound(ctx context.Context, group string) {
 	select {
 	case <-d.ask(group).done:
 	case <-ctx.Done():
@@ -108,7 +108,7 @@
 		var g errgroup.Group
 		for _, i := range all {
 			g.Go(func() error {
-				d.question(ctx, i)
+				d.askStatus(ctx, i)
 				return nil
 			})
 		}
@@ -120,21 +120,21 @@
 	if p >= 0 && d.Observer.NeedsSample(group, d.Clock.Now()) {
 		asked := d.Clock.Now()
 		g.Go(func() error {
-			d.questionAt(ctx, all[p], asked)
+			d.askStatusAt(ctx, all[p], asked)
 			return nil
 		})
 	}
 	if d.Observer.Confirmed(group).Before(d.Clock.Now()) {
 		g.Go(func() error {
-			d.questionReplica(ctx, group, primary)
+			d.askReplica(ctx, group, primary)
 			return nil
 		})
 	}
 	_ = g.Wait()
 }
 
-// questionReplica asks the replicas one after the other until one confirms the primary.
-func (d *Dispatcher) questionReplica(ctx context.Context, group, primary string) {
+// askReplica asks the replicas one after the other until one confirms the primary.
+func (d *Dispatcher) askReplica(ctx context.Context, group, primary string) {
 	tried := []string{primary}
 	for ctx.Err() == nil {
 		i, ok := d.Observer.Choose(d.Clock.Now(), observer.Need{Group: group, Tried: tried})
@@ -142,7 +142,7 @@
 			return
 		}
 		before := d.Observer.Confirmed(group)
-		d.question(ctx, i)
+		d.askStatus(ctx, i)
 		if d.Observer.Confirmed(group).After(before) {
 			return
 		}
@@ -150,13 +150,13 @@
 	}
 }
 
-// question asks an instance for its status.
-func (d *Dispatcher) question(ctx context.Context, i observer.Instance) {
-	d.questionAt(ctx, i, d.Clock.Now())
+// askStatus asks an instance for its status.
+func (d *Dispatcher) askStatus(ctx context.Context, i observer.Instance) {
+	d.askStatusAt(ctx, i, d.Clock.Now())
 }
 
-// questionAt asks an instance for its status and counts the answer from asked.
-func (d *Dispatcher) questionAt(ctx context.Context, i observer.Instance, asked time.Time) {
+// askStatusAt asks an instance for its status and counts the answer from asked.
+func (d *Dispatcher) askStatusAt(ctx context.Context, i observer.Instance, asked time.Time) {
 	st, err := d.Control(ctx, i, phraser.Statement{Kind: phraser.Status})
 	if err != nil {
 		return
--- a/dispatcher/vigil.go
+++ b/dispatcher/leadcheck.go
@@ -10,8 +10,8 @@
 	"github.com/marigoldgauge/marigoldgauge/observer"
 )
 
-// vigil makes sure, while a statement runs at a primary, that it is the primary.
-type vigil struct {
+// leadCheck makes sure, while a statement runs at a primary, that it is the primary.
+type leadCheck struct {
 	d         *Dispatcher
 	group     string
 	instance  string
@@ -21,9 +21,9 @@
 	errgroup.Group
 }
 
-// watch begins a vigil over the instance on which a unit runs.
-func (d *Dispatcher) watch(ctx context.Context, u Unit, i observer.Instance) *vigil {
-	v := &vigil{d: d, group: u.Route.Group, instance: i.ID}
+// watch begins a check of the instance on which a unit runs.
+func (d *Dispatcher) watch(ctx context.Context, u Unit, i observer.Instance) *leadCheck {
+	v := &leadCheck{d: d, group: u.Route.Group, instance: i.ID}
 	if !u.leads() {
 		return v
 	}
@@ -42,7 +42,7 @@
 }
 
 // wait returns whether the instance led alone all the while.
-func (v *vigil) wait() bool {
+func (v *leadCheck) wait() bool {
 	_ = v.Wait()
 	if !v.needed {
 		return true
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -100,7 +100,7 @@
 	limit := u.Began.Add(stalenessMargin - u.Route.Staleness)
 	p, ok := d.Observer.Watermark(u.Route.Group, limit)
 	if !ok {
-		d.sound(ctx, u.Route.Group)
+		d.awaitRound(ctx, u.Route.Group)
 		if p, ok = d.Observer.Watermark(u.Route.Group, limit); !ok {
 			return p, "no position of the primary is recent enough"
 		}
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -19,12 +19,12 @@
 
 // Transaction is a transaction that is pinned to a connection.
 type Transaction struct {
-	d     *Dispatcher
-	unit  Unit
-	at    observer.Instance
-	link  *connector.Link
-	vigil *vigil
-	wrote bool
+	d         *Dispatcher
+	unit      Unit
+	at        observer.Instance
+	link      *connector.Link
+	leadCheck *leadCheck
+	wrote     bool
 }
 
 // Open begins a transaction; without one the answer tells why.
@@ -68,13 +68,13 @@
 func (t *Transaction) Run(ctx context.Context, u Unit) phraser.Answer {
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
-	first := t.vigil == nil
+	first := t.leadCheck == nil
 	if first {
-		t.vigil = t.d.watch(ctx, t.unit, t.at)
+		t.leadCheck = t.d.watch(ctx, t.unit, t.at)
 	}
 	t.wrote = t.wrote || u.Writes
 	a, err := t.exchange(ctx, u)
-	if first && !t.vigil.wait() && err == nil {
+	if first && !t.leadCheck.wait() && err == nil {
 		return t.abandon(ctx, u, "the primary is not confirmed")
 	}
 	if err != nil {
