--- a/assembler/following.go
+++ b/assembler/following.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
@@ -56,7 +57,6 @@
 // reached notes whether the store answered.
 func (p *Proxy) reached(now time.Time, err error) {
 	if err == nil {
-		p.State.storeReached.Store(now.UnixNano())
 		if p.State.storeLost.Swap(false) {
 			p.State.storeRegained.Store(now.UnixNano())
 			p.Journal.Belief("store-regained")
@@ -71,7 +71,7 @@
 // followCatalogue keeps the configuration up to date.
 func (p *Proxy) followCatalogue(ctx context.Context) error {
 	key := p.Parts.Adapter.CatalogueKey()
-	prefix := key[:len(key)-len(baseName(key))]
+	prefix := key[:strings.LastIndexByte(key, '/')+1]
 	return p.follow(ctx, prefix, func(asOf time.Time, _ uint64, objects map[string]keeper.Object) {
 		if o, ok := objects[key]; ok {
 			p.takeCatalogue(o.Value, "store")
@@ -80,16 +80,6 @@
 	})
 }
 
-// baseName returns what follows the last slash of a key.
-func baseName(key string) string {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '/' {
-			return key[i+1:]
-		}
-	}
-	return key
-}
-
 // takeCatalogue puts a configuration in force unless a later one is.
 func (p *Proxy) takeCatalogue(raw []byte, source string) {
 	c, err := p.Parts.Adapter.Catalogue(raw)
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -49,10 +49,9 @@
 
 // state is what the parts of a process tell each other.
 type state struct {
-	incarnation  uint64
-	instances    atomic.Bool
-	storeReached atomic.Int64
-	storeLost    atomic.Bool
+	incarnation uint64
+	instances   atomic.Bool
+	storeLost   atomic.Bool
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
 	storeRegained atomic.Int64
 	roll          *observer.Roll
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -31,13 +31,11 @@
 	incarnation uint64
 	lease       time.Duration
 
-	mu       sync.Mutex
-	record   Record
-	version  string
-	revision uint64
-	since    time.Time
-	heard    turn
-	grant    Grant
+	mu      sync.Mutex
+	record  Record
+	version string
+	since   time.Time
+	heard   turn
 }
 
 // New returns a Leaser of the object key for a holder.
@@ -45,13 +43,6 @@
 	return &Leaser{store: s, clock: c, key: key, holder: holder, incarnation: incarnation, lease: lease}
 }
 
-// Grant returns the right that this process has.
-func (l *Leaser) Grant() Grant {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.grant
-}
-
 // Known returns the lease as last seen.
 func (l *Leaser) Known() Record {
 	l.mu.Lock()
@@ -104,7 +95,7 @@
 			l.since = l.heard.since
 		}
 	}
-	l.record, l.version, l.revision = r, o.Version, o.Revision
+	l.record, l.version = r, o.Version
 	return nil
 }
 
@@ -171,6 +162,5 @@
 	defer l.mu.Unlock()
 	l.record, l.version, l.since = r, version, asked
 	// A quarter of the lease covers an act that is still on its way when the right ends.
-	l.grant = Grant{Holder: l.holder, Token: r.Token, Until: asked.Add(l.lease * 3 / 4)}
-	return l.grant
+	return Grant{Holder: l.holder, Token: r.Token, Until: asked.Add(l.lease * 3 / 4)}
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/phraser"
-	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
 // Distance returns the answer time to assume of an availability zone before anything was measured.
@@ -176,8 +175,7 @@
 		return
 	}
 	s.underWay--
-	s.failures, s.suspectUntil, s.answered = 0, time.Time{}, now
-	s.seen = s.seen.Max(a.Position)
+	g.heard(s, now, sent, a.Position)
 	switch a.Result {
 	case phraser.Done:
 		s.latency += time.Duration(latencyWeight * float64(now.Sub(sent)-s.latency))
@@ -192,10 +190,6 @@
 	case phraser.Busy:
 		s.suspectUntil = now.Add(busyFor)
 	}
-	if i.ID == g.primary && a.Position != (tracker.Position{}) {
-		g.unreached = time.Time{}
-		g.addSample(sent, a.Position)
-	}
 }
 
 // busyFor is how long an instance without room is avoided: a few short statements.
@@ -221,13 +215,7 @@
 		return
 	}
 	s.underWay--
-	s.failures, s.suspectUntil = 0, time.Time{}
-	s.answered = sent
-	s.seen = s.seen.Max(a.Position)
-	if i.ID == g.primary && a.Position != (tracker.Position{}) {
-		g.unreached = time.Time{}
-		g.addSample(sent, a.Position)
-	}
+	g.heard(s, sent, sent, a.Position)
 }
 
 // Fail notes that an instance could not be reached or did not answer.
@@ -240,9 +228,6 @@
 		return
 	}
 	s.underWay--
-	if s.failures == 0 {
-		s.failingSince = now
-	}
 	s.suspectUntil = now.Add(min(suspectFirst<<min(s.failures, 8), suspectMost))
 	s.failures++
 	if i.ID == g.primary && g.unreached.IsZero() {
--- a/observer/primary.go
+++ b/observer/primary.go
@@ -90,9 +90,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
-	if s := g.instances[i.ID]; s != nil {
-		s.seen = s.seen.Max(st.Received)
-	}
 	switch {
 	case st.Leads && st.Term > g.term:
 		g.take(now, i.ID, st.Term)
--- a/observer/state.go
+++ b/observer/state.go
@@ -33,10 +33,8 @@
 	measured     time.Time
 	underWay     int
 	failures     int
-	failingSince time.Time
 	suspectUntil time.Time
 	answered     time.Time
-	seen         tracker.Position
 	lacked       tracker.Position
 	laggingUntil time.Time
 }
@@ -108,3 +106,13 @@
 	g.highest = max(g.highest, term)
 	g.deposed = true
 }
+
+// heard notes that an instance answered at a time what was sent before, and
+// where its log stood.
+func (g *groupState) heard(s *instanceState, answered, sent time.Time, p tracker.Position) {
+	s.failures, s.suspectUntil, s.answered = 0, time.Time{}, answered
+	if s.ID == g.primary && p != (tracker.Position{}) {
+		g.unreached = time.Time{}
+		g.addSample(sent, p)
+	}
+}
