fix: a VM that finds a new primary by asking says so in its log

Found in the reading of the change: the dispatcher's questions swallowed errors and changes of primary without a line, where the switcher's twin writes both. The time that nobody read went out of the follower and the catalogue's holder. Behaviour is as it was but for the lines.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -41,7 +41,7 @@
 )
 
 // follow follows a prefix of the store.
-func (p *Proxy) follow(ctx context.Context, prefix string, apply func(asOf time.Time, revision uint64, objects map[string]keeper.Object)) error {
+func (p *Proxy) follow(ctx context.Context, prefix string, apply func(revision uint64, objects map[string]keeper.Object)) error {
 	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Hold: p.hold}
 	return f.Run(ctx)
 }
@@ -72,11 +72,10 @@
 func (p *Proxy) followCatalogue(ctx context.Context) error {
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:strings.LastIndexByte(key, '/')+1]
-	return p.follow(ctx, prefix, func(asOf time.Time, _ uint64, objects map[string]keeper.Object) {
+	return p.follow(ctx, prefix, func(_ uint64, objects map[string]keeper.Object) {
 		if o, ok := objects[key]; ok {
 			p.takeCatalogue(o.Value, "store")
 		}
-		p.Catalogue.Confirm(asOf)
 	})
 }
 
@@ -114,7 +113,7 @@
 
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
-	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(_ time.Time, revision uint64, objects map[string]keeper.Object) {
+	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(revision uint64, objects map[string]keeper.Object) {
 		p.takeListing(&listing{Revision: revision, Objects: slices.Collect(maps.Values(objects))})
 	})
 }
--- a/cataloguer/holder.go
+++ b/cataloguer/holder.go
@@ -1,15 +1,11 @@
 package cataloguer
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // Holder holds the catalogue in force. It is safe for concurrent use.
 type Holder struct {
 	mu        sync.RWMutex
 	catalogue *Catalogue
-	confirmed time.Time
 	changed   chan struct{}
 }
 
@@ -46,22 +42,6 @@
 	return true
 }
 
-// Confirm notes that the store named no later version at the time at.
-func (h *Holder) Confirm(at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if at.After(h.confirmed) {
-		h.confirmed = at
-	}
-}
-
-// Confirmed returns the last time at which the store named no later version.
-func (h *Holder) Confirmed() time.Time {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.confirmed
-}
-
 // Changed returns a channel that is closed when the next catalogue is in force.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.RLock()
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -11,6 +11,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 )
@@ -159,9 +160,13 @@
 func (d *Dispatcher) askStatusAt(ctx context.Context, i observer.Instance, asked time.Time) {
 	st, err := d.Control(ctx, i, phraser.Statement{Kind: phraser.Status})
 	if err != nil {
+		d.Journal.Belief("instance-silent", journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("statement", phraser.Status), journaler.Err(err))
 		return
 	}
-	d.Observer.ObserveStatus(d.Clock.Now(), asked, i, st)
+	if d.Observer.ObserveStatus(d.Clock.Now(), asked, i, st) {
+		d.Journal.Belief("primary-changed", journaler.Group(i.Group), journaler.Primary(i.ID), journaler.Term(st.Term),
+			journaler.F("position", st.Received), journaler.Source("status"))
+	}
 }
 
 // Control runs a statement of the product on an instance and returns its status.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,9 +32,9 @@
 	Wait func() time.Duration
 	// Clock tells the present time.
 	Clock clocker.Clock
-	// Apply takes the whole copy after each change, with the time and the
-	// revision as of which it was complete.
-	Apply func(asOf time.Time, revision uint64, objects map[string]keeper.Object)
+	// Apply takes the whole copy after each change, with the revision as of which
+	// it was complete.
+	Apply func(revision uint64, objects map[string]keeper.Object)
 	// Hold reports whether to leave the store alone for now; nil never does.
 	Hold func(now time.Time) bool
 	// Reached is told of each call whether the store answered.
@@ -79,7 +79,6 @@
 
 // step makes one call and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
-	asked := f.Clock.Now()
 	if f.objects == nil {
 		page, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
@@ -87,7 +86,7 @@
 		}
 		f.objects = map[string]keeper.Object{}
 		f.merge(page)
-		f.Apply(asked, f.revision, f.objects)
+		f.Apply(f.revision, f.objects)
 		return nil
 	}
 	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait())
@@ -99,7 +98,7 @@
 		return nil
 	}
 	f.merge(page)
-	f.Apply(asked, f.revision, f.objects)
+	f.Apply(f.revision, f.objects)
 	if len(page.Objects) > 0 {
 		// Changes often come in a row; one call then brings several.
 		clocker.Sleep(ctx, gather)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -59,7 +59,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := follower.Follower{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: clocker.Func(time.Now), Hold: hold,
 			Reached: func(time.Time, error) {},
-			Apply: func(_ time.Time, _ uint64, objects map[string]keeper.Object) {
+			Apply: func(_ uint64, objects map[string]keeper.Object) {
 				clear(got)
 				for key, o := range objects {
 					got[key] = o.Revision
