--- a/pooler/decide.go
+++ b/pooler/decide.go
@@ -93,25 +93,11 @@
 	v := promoter.View{Instances: make([]promoter.InstanceView, 0, len(p.instances))}
 	for _, i := range p.instances {
 		t := p.tracker.Instance(i.id)
-		v.Instances = append(v.Instances, promoter.InstanceView{ID: i.id, Known: t.Known, Heard: t.Heard, Distance: i.rtt, Status: t.Status, Busy: p.busy(i)})
+		v.Instances = append(v.Instances, promoter.InstanceView{ID: i.id, Known: t.Known, Heard: t.Heard, Distance: i.rtt, Status: t.Status})
 	}
 	return v
 }
 
-// busy counts the work that would be cut if an instance stopped leading now. The lock is held.
-func (p *Pool) busy(i *instance) int {
-	n := 0
-	for _, w := range i.leased {
-		if w.primary {
-			n++
-		}
-	}
-	if n == 0 && p.paused {
-		n = p.confirms.Waiting()
-	}
-	return n
-}
-
 // prepare does the part of an action that needs no waiting. The lock is held.
 func (p *Pool) prepare(a promoter.Action) {
 	switch a.Kind {
--- a/promoter/instanceview.go
+++ b/promoter/instanceview.go
@@ -18,9 +18,6 @@
 	Distance time.Duration
 	// Status is its last status.
 	Status tracker.Status
-	// Busy is the number of units of work that would be cut if it stopped
-	// leading now: those that run there and those whose commit is not confirmed.
-	Busy int
 }
 
 // leads reports whether the instance leads the latest term that it knows.
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -196,12 +196,12 @@
 			caughtUp = true
 		}
 	}
-	if primary.Busy == 0 && primary.Heard.After(p.since.Add(p.config.Grace)) && caughtUp {
+	if primary.Heard.After(p.since.Add(p.config.Grace)) && caughtUp {
 		return p.begin(now, v, p.reason+"; a replica has caught up")
 	}
 	if now.Sub(p.since) >= p.config.SwitchOverFor {
 		p.notUntil = now.Add(p.config.Backoff)
-		p.reason += "; no replica caught up in time, or work went on"
+		p.reason += "; no replica caught up in time"
 		p.enter(now, Watching)
 		return p.resume()
 	}
