fix: VMs that start together agree on one coordinator before they take pools

A coordinator asked one other VM a second, in turn, left out those that had not answered lately (just the ones in question), and VMs that were told of the better coordinator still passed it over.

Now a coordinator asks the VMs that send it no heartbeats first, with each heartbeat during its first second, also those that did not answer lately; a VM that learns of another coordinator tries it at once.

--- a/registrar/beating.go
+++ b/registrar/beating.go
@@ -92,7 +92,7 @@
 // one answers: the present coordinator, then the others by rank. A process that
 // has no coordinator yet asks all others before it coordinates itself.
 func (r *Registrar) candidates() []Member {
-	ranked := r.ranked()
+	ranked := r.ranked(false)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == r.coordinates })
@@ -112,8 +112,9 @@
 	return slices.Insert(slices.Delete(list, from, from+1), to, m)
 }
 
-// ranked returns the VMs that may coordinate, the most preferred first.
-func (r *Registrar) ranked() []Member {
+// ranked returns the VMs that may coordinate, the most preferred first, with or
+// without those that lately did not answer.
+func (r *Registrar) ranked(silent bool) []Member {
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,7 +128,7 @@
 	known[r.self.ID] = r.self
 	ids := make([]string, 0, len(known))
 	for id := range known {
-		if at, ok := r.avoided[id]; ok && now.Sub(at) < avoidFor && id != r.self.ID {
+		if at, ok := r.avoided[id]; ok && !silent && now.Sub(at) < avoidFor && id != r.self.ID {
 			continue
 		}
 		ids = append(ids, id)
@@ -203,6 +204,7 @@
 
 // coordinate begins to coordinate. The lock is held.
 func (r *Registrar) coordinate(now time.Time) {
+	r.beganAt = now
 	r.coordinator = NewCoordinator(now, r.inheritance())
 	r.coordinator.SetLeaving(r.leavingVMs)
 	r.views++
@@ -236,6 +238,9 @@
 	if r.coordinates != coordinator {
 		r.Recorder.Record(explainer.Event{At: now, Kind: "coordinator", Subject: cell, Reason: "heartbeats go to " + coordinator, Epoch: a.Roster.Version})
 		r.coordinates = coordinator
+		// It answers somebody now, even if it did not answer this VM before.
+		delete(r.avoided, coordinator)
+		r.poke()
 	}
 	if coordinator != r.self.ID {
 		r.coordinator = nil
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,6 +51,8 @@
 	// view identifies what this VM decides as the coordinator, and views counts them.
 	view  uint64
 	views uint64
+	// beganAt is when this VM last began to coordinate.
+	beganAt time.Time
 	// followedAt is when the coordinator last answered.
 	followedAt time.Time
 	// relayed are the VMs that lately sent their heartbeats here instead.
@@ -63,10 +65,10 @@
 	leavingVMs []string
 	kick       chan struct{}
 
-	// sought is when this VM last asked for a better coordinator, and asked whom;
-	// both belong to the thread that sends heartbeats.
-	sought time.Time
-	asked  int
+	// sought is when this VM last asked for a better coordinator, and questions
+	// how often; both belong to the thread that sends heartbeats.
+	sought    time.Time
+	questions int
 }
 
 // New returns a Registrar that knows itself and its seeds.
--- a/registrar/watching.go
+++ b/registrar/watching.go
@@ -12,7 +12,7 @@
 // rank returns the place of this VM among those that may watch the store: the
 // coordinator has the first one, its deputy the second.
 func (r *Registrar) rank() int {
-	ranked := r.ranked()
+	ranked := r.ranked(false)
 	coordinator := r.Coordinator()
 	if coordinator == r.self.ID {
 		return 0
