feat: metrics of positions, lag, rates, queues, store and duty calls

The metrics lacked positions and lag of instances, rates used against allowed, lengths of lines before instances, calls by outcome and the age of the configuration. They are read when the metrics are, from views of the observer, the sharer and the connection pools; labels are instances and at most 128 organisations. Each value that was computed by building a whole dump is now read by itself.

cataloguer.Holder.Changed was used by its test only and is gone; Take gets the present time instead and Age tells how long a version has been in force.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -86,7 +86,7 @@
 		p.Journal.Belief("configuration-refused", journaler.Err(err), journaler.Source(source))
 		return
 	}
-	if !p.Catalogue.Take(c) {
+	if !p.Catalogue.Take(p.Parts.Clock.Now(), c) {
 		return
 	}
 	p.shape(c)
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -72,7 +72,10 @@
 		StoreLost: p.State.storeLost.Load(), StoreCalls: p.Parts.Adapter.Store().Calls(), Duty: p.Leaser.Known(),
 		Peers: p.Gossiper.Known(now), Shares: map[string]shareOfRate{}, Lines: p.Journal.Dropped(),
 	}
-	d.Connections, d.Opened = p.Dispatcher.Connections()
+	for _, st := range p.Dispatcher.Pools() {
+		d.Connections += st.Open
+		d.Opened += st.Opened
+	}
 	if c := p.Catalogue.Current(); c != nil {
 		d.Version = c.Version
 		for name := range c.Organisations {
@@ -89,22 +92,7 @@
 
 // operatorHandler answers operators.
 func (p *Proxy) operatorHandler() http.Handler {
-	gauges := []struct {
-		name  string
-		value func(d Dump) float64
-	}{
-		{"marigoldgauge_callers", func(d Dump) float64 { return float64(d.Sessions) }},
-		{"marigoldgauge_configuration_version", func(d Dump) float64 { return float64(d.Version) }},
-		{"marigoldgauge_store_calls_total{kind=\"read\"}", func(d Dump) float64 { return float64(d.StoreCalls.Reads) }},
-		{"marigoldgauge_store_calls_total{kind=\"write\"}", func(d Dump) float64 { return float64(d.StoreCalls.Writes) }},
-		{"marigoldgauge_store_calls_total{kind=\"watch\"}", func(d Dump) float64 { return float64(d.StoreCalls.Watches) }},
-		{"marigoldgauge_endpoint_connections", func(d Dump) float64 { return float64(d.Connections) }},
-		{"marigoldgauge_endpoint_connections_opened_total", func(d Dump) float64 { return float64(d.Opened) }},
-		{"marigoldgauge_log_lines_left_out_total", func(d Dump) float64 { return float64(d.Lines) }},
-	}
-	for _, g := range gauges {
-		p.Measurer.Gauge(g.name, func() float64 { return g.value(p.Dump()) })
-	}
+	p.Measurer.Collect(p.samples)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.Measurer.Write(w) })
 	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
--- a/cataloguer/holder.go
+++ b/cataloguer/holder.go
@@ -1,17 +1,20 @@
 package cataloguer
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Holder holds the catalogue in force. It is safe for concurrent use.
 type Holder struct {
 	mu        sync.RWMutex
 	catalogue *Catalogue
-	changed   chan struct{}
+	taken     time.Time
 }
 
 // NewHolder returns a Holder without a catalogue.
 func NewHolder() *Holder {
-	return &Holder{changed: make(chan struct{})}
+	return &Holder{}
 }
 
 // Current returns the catalogue in force, or nil before the first one.
@@ -29,22 +32,23 @@
 	return 0
 }
 
-// Take puts a catalogue in force unless a later one is, and reports whether it did.
-func (h *Holder) Take(c *Catalogue) bool {
+// Take puts a catalogue in force at now unless a later one is, and reports whether it did.
+func (h *Holder) Take(now time.Time, c *Catalogue) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.catalogue != nil && c.Version <= h.catalogue.Version {
 		return false
 	}
-	h.catalogue = c
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.catalogue, h.taken = c, now
 	return true
 }
 
-// Changed returns a channel that is closed when the next catalogue is in force.
-func (h *Holder) Changed() <-chan struct{} {
+// Age returns how long the catalogue has been in force, or 0 before the first one.
+func (h *Holder) Age(now time.Time) time.Duration {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return h.changed
+	if h.catalogue == nil {
+		return 0
+	}
+	return now.Sub(h.taken)
 }
--- a/cataloguer/holder_test.go
+++ b/cataloguer/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -11,18 +12,22 @@
 func TestHolderOnlyMovesForward(t *testing.T) {
 	g := NewWithT(t)
 	h := cataloguer.NewHolder()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	taken := now
+	g.Expect(h.Age(now)).To(BeZero())
 	g.Expect(h.Version()).To(BeZero())
 	version := func(n uint64) *cataloguer.Catalogue { return cataloguer.New(n, 0, nil, nil, nil) }
 	for _, step := range []struct {
 		version uint64
 		taken   bool
 	}{{4, true}, {4, false}, {3, false}, {9, true}, {8, false}} {
-		changed := h.Changed()
-		g.Expect(h.Take(version(step.version))).To(Equal(step.taken))
+		now = now.Add(time.Second)
+		g.Expect(h.Take(now, version(step.version))).To(Equal(step.taken))
 		if step.taken {
-			g.Expect(changed).To(BeClosed())
+			taken = now
 			g.Expect(h.Version()).To(Equal(step.version))
 		}
+		g.Expect(h.Age(now)).To(Equal(now.Sub(taken)))
 	}
 	g.Expect(h.Version()).To(BeEquivalentTo(9))
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -113,16 +113,15 @@
 	_ = d.background.Wait()
 }
 
-// Connections returns the number of connections held and ever opened.
-func (d *Dispatcher) Connections() (open int, opened uint64) {
+// Pools returns how the connections to each instance stand.
+func (d *Dispatcher) Pools() map[string]connector.Stats {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		st := p.Stats()
-		open += st.Open
-		opened += st.Opened
+	out := make(map[string]connector.Stats, len(d.pools))
+	for id, p := range d.pools {
+		out[id] = p.Stats()
 	}
-	return open, opened
+	return out
 }
 
 // pool returns the connections to an instance, or nil once it is gone.
--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -8,4 +8,6 @@
 	Writes uint64 `json:"writes"`
 	// Watches counts waiting watches.
 	Watches uint64 `json:"watches"`
+	// Failed counts those of all kinds that brought no answer.
+	Failed uint64 `json:"failed"`
 }
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -1,6 +1,7 @@
 // Package measurer counts what became of requests and how long their parts took.
 //
-// Labels are kinds of routes, results and parts only, so their number is bounded.
+// Labels of what requests do are kinds of routes, results and parts, never
+// organisations times routes, so their number is bounded.
 package measurer
 
 import (
@@ -69,11 +70,6 @@
 	return h
 }
 
-// Gauge adds a gauge.
-func (m *Measurer) Gauge(name string, value func() float64) {
-	m.set.NewGauge(name, value)
-}
-
 // Write writes all in the text format.
 func (m *Measurer) Write(w io.Writer) {
 	m.set.WritePrometheus(w)
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -17,7 +17,9 @@
 	m.Request("primary", "done", 20*time.Millisecond)
 	m.Request("primary", "busy", time.Millisecond)
 	m.Part("linking", time.Millisecond)
-	m.Gauge("marigoldgauge_callers", func() float64 { return 7 })
+	m.Collect(func() []measurer.Sample {
+		return []measurer.Sample{{Name: "marigoldgauge_callers", Value: 7}, {Name: `marigoldgauge_calls_total{kind="read"}`, Value: 3, Counts: true}}
+	})
 	var b bytes.Buffer
 	m.Write(&b)
 	for _, line := range []string{
@@ -26,6 +28,7 @@
 		`marigoldgauge_request_seconds_count{route="primary"} 3`,
 		`marigoldgauge_request_part_seconds_count{part="linking"} 1`,
 		`marigoldgauge_callers 7`,
+		`marigoldgauge_calls_total{kind="read"} 3`,
 	} {
 		g.Expect(b.String()).To(ContainSubstring(line))
 	}
--- a/observer/state.go
+++ b/observer/state.go
@@ -37,6 +37,9 @@
 	answered     time.Time
 	lacked       tracker.Position
 	laggingUntil time.Time
+	// position is where the log stood that the last answer told of, at positionAt.
+	position   tracker.Position
+	positionAt time.Time
 }
 
 // expected returns how long an answer is likely to take.
@@ -111,6 +114,9 @@
 // where its log stood.
 func (g *groupState) heard(s *instanceState, answered, sent time.Time, p tracker.Position) {
 	s.failures, s.suspectUntil, s.answered = 0, time.Time{}, answered
+	if p != (tracker.Position{}) {
+		s.position, s.positionAt = p, sent
+	}
 	if s.ID == g.primary && p != (tracker.Position{}) {
 		g.unreached = time.Time{}
 		g.addSample(sent, p)
--- /dev/null
+++ b/observer/view_test.go
@@ -0,0 +1,51 @@
+package observer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// A replica that stands where the primary stood before it went on lags since
+// the primary was first seen ahead of it.
+func TestViewsTellPositionsAndLag(t *testing.T) {
+	at := func(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
+	tests := []struct {
+		name   string
+		offset uint64
+		lag    time.Duration
+	}{
+		{"up to date", 30, 0},
+		{"behind the last entries", 20, time.Second},
+		{"behind more", 10, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			o := observer.New(func(string) time.Duration { return time.Millisecond })
+			a, b := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
+			o.SetInstances([]observer.Instance{a, b})
+			o.ObserveStatus(start, start, a, phraser.InstanceStatus{Leads: true, Term: 1, Received: at(10)})
+			for n, offset := range []uint64{20, 30} {
+				o.Begin(a)
+				sent := start.Add(time.Duration(n+1) * time.Second)
+				o.End(sent, sent, a, phraser.Answer{Result: phraser.Done, Position: at(offset)})
+			}
+			sent := start.Add(3 * time.Second)
+			o.Begin(b)
+			o.End(sent, sent, b, phraser.Answer{Result: phraser.Done, Position: at(tt.offset)})
+			views := o.Views()
+			g.Expect(views).To(HaveLen(2))
+			g.Expect(views[0].Primary).To(BeTrue())
+			g.Expect(views[0].Position).To(Equal(at(30)))
+			g.Expect(views[1].Position).To(Equal(at(tt.offset)))
+			g.Expect(views[1].Heard).To(Equal(sent))
+			g.Expect(views[1].Lag).To(Equal(tt.lag))
+		})
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -59,6 +59,8 @@
 	demand float64
 	since  time.Time
 	asked  int
+	// admitted and refused count operations for the metrics.
+	admitted, refused uint64
 }
 
 // New returns a Sharer without organisations.
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -152,6 +152,11 @@
 			}
 			err := s.Promoter.Promote(ctx, grant, next.Group, next.ID)
 			named = err == nil
+			if named {
+				s.accepted.Add(1)
+			} else {
+				s.failed.Add(1)
+			}
 			s.Journal.Belief("promotion-sent", journaler.Group(next.Group), journaler.Instance(next.ID),
 				journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", named))
 		}
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -9,6 +9,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -45,6 +46,8 @@
 
 	mu    sync.Mutex
 	stale []deposed
+
+	accepted, failed atomic.Uint64
 }
 
 // New returns a Switcher.
@@ -52,6 +55,12 @@
 	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}, begun: map[string]time.Time{}}
 }
 
+// Promotions returns how many promotions the platform accepted from this VM,
+// and how many calls failed or were not accepted.
+func (s *Switcher) Promotions() (accepted, failed uint64) {
+	return s.accepted.Load(), s.failed.Load()
+}
+
 // Run looks after the groups until ctx ends.
 func (s *Switcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
