perf: fewer calls to a store that does not answer

Now the first two VMs of each availability zone go on at the former pace and the others wait 0.6 s longer for each VM of their zone, with a random wait before the first call; the record is read by the first two VMs and two others by turns, and those that are stale ask the first four in turn, so that one that gets through is found. Zones of up to two VMs behave as before.

Ruled out: telling the others that the store is lost after one failed reading of the record; it would take VMs out of the duty of replacing primaries for a lost answer.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -42,7 +42,7 @@
 
 // follow follows a prefix of the store.
 func (p *Proxy) follow(ctx context.Context, prefix string, apply func(revision uint64, objects map[string]keeper.Object)) error {
-	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Hold: p.hold}
+	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Most: p.mostPause, Hold: p.hold}
 	return f.Run(ctx)
 }
 
@@ -171,6 +171,26 @@
 	return hold
 }
 
+// pausePerVM is how much longer each further VM of an availability zone waits
+// between two calls to a store that does not answer, so that a zone together
+// calls about as often as one VM, beside those that watch.
+const pausePerVM = 600 * time.Millisecond
+
+// mostPause returns the longest pause between two calls to a store that does
+// not answer: short for those that watch it, long for those that leave it to them.
+func (p *Proxy) mostPause(now time.Time) time.Duration {
+	names := []string{p.Parts.Settings.VM.ID}
+	for _, peer := range p.Gossiper.Near(now) {
+		if !peer.Leaving {
+			names = append(names, peer.Name)
+		}
+	}
+	if slices.Index(placer.Rank("watch-store", names), p.Parts.Settings.VM.ID) < watchers {
+		return 0
+	}
+	return pausePerVM * time.Duration(len(names))
+}
+
 // takeInstances lets the parts know which instances there are.
 func (p *Proxy) takeInstances() {
 	list := p.State.roll.Instances(p.Parts.Clock.Now())
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -35,6 +35,10 @@
 	// Apply takes the whole copy after each change, with the revision as of which
 	// it was complete.
 	Apply func(revision uint64, objects map[string]keeper.Object)
+	// Most returns the longest pause between two calls while the store does not
+	// answer; nil stands for retryMost. Those for whom it is longer let others
+	// try first.
+	Most func(now time.Time) time.Duration
 	// Hold reports whether to leave the store alone for now; nil never does.
 	Hold func(now time.Time) bool
 	// Reached is told of each call whether the store answered.
@@ -56,7 +60,14 @@
 			}
 			continue
 		}
+		most := f.most()
 		if f.held {
+			if most > retryMost && !clocker.Sleep(ctx, rand.N(most)) {
+				return nil
+			}
+			if f.Hold(f.Clock.Now()) {
+				continue
+			}
 			// The history may be gone; the list is complete.
 			f.held, f.objects = false, nil
 		}
@@ -69,14 +80,25 @@
 			pause = retryFirst
 			continue
 		}
+		if most > retryMost {
+			pause = most
+		}
 		if !clocker.Sleep(ctx, pause/2+rand.N(pause)) {
 			return nil
 		}
-		pause = min(2*pause, retryMost)
+		pause = min(2*pause, most)
 	}
 	return nil
 }
 
+// most returns the longest pause between two calls for now.
+func (f *Follower) most() time.Duration {
+	if f.Most == nil {
+		return retryMost
+	}
+	return max(f.Most(f.Clock.Now()), retryMost)
+}
+
 // step makes one call and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
 	if f.objects == nil {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -117,3 +117,43 @@
 	g.Expect(got).To(Equal(map[string]uint64{"k/b": 29}))
 	g.Expect(s.listed).To(Equal(2))
 }
+
+// Those that leave the store to others call it rarely while it does not answer,
+// and not all at the same moment.
+func TestLongPausesForOthers(t *testing.T) {
+	tests := []struct {
+		name        string
+		most        time.Duration
+		fewest, all int
+	}{
+		{"one that watches", 0, 30, 90},
+		{"one of twelve others", 7200 * time.Millisecond, 2, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &script{lists: []*keeper.Page{{Revision: 4}}, watches: make([]*keeper.Page, 1)}
+				for range 200 {
+					s.lists = append(s.lists, nil)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				looks := 0
+				f := follower.Follower{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: clocker.Func(time.Now),
+					Reached: func(time.Time, error) {}, Apply: func(uint64, map[string]keeper.Object) {},
+					Most: func(time.Time) time.Duration { return tt.most },
+					Hold: func(time.Time) bool {
+						looks++
+						return looks < 4
+					}}
+				var group errgroup.Group
+				group.Go(func() error { return f.Run(ctx) })
+				time.Sleep(30 * time.Second)
+				cancel()
+				g.Expect(group.Wait()).To(Succeed())
+				g.Expect(s.listed).To(BeNumerically(">=", tt.fewest))
+				g.Expect(s.listed).To(BeNumerically("<=", tt.all))
+			})
+		})
+	}
+}
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,12 @@
 	interval = 400 * time.Millisecond
 	// readAge is the age of the knowledge from others at which a VM reads the record itself.
 	readAge = 3 * interval
+	// readers is the number of VMs that go on reading while nobody's knowledge is
+	// fresh; each call to the store has its price, whether it is answered or not.
+	readers = 2
+	// askedWhenStale is the number of VMs that are asked in turn then: more than
+	// the readers, since the store may refuse some.
+	askedWhenStale = 4
 	// announceEvery is how often VMs that have not taken note are told again.
 	announceEvery = 60 * time.Millisecond
 	// margin is taken off a lease for clocks of uneven speed.
@@ -70,6 +77,9 @@
 	nonce  uint64
 	asked  map[uint64]time.Time
 	noted  map[process]uint64
+
+	// steps counts the steps; it belongs to the thread that takes them.
+	steps int
 }
 
 // process is one process of a VM.
@@ -102,7 +112,8 @@
 // step refreshes the knowledge once.
 //
 // The first VM reads the record, the first of each availability zone asks that
-// one, and all others ask the first of their zone.
+// one, and all others ask the first of their zone. While what they hear is not
+// fresh, a few go on reading and the others look by turns.
 func (v *Voucher) step(ctx context.Context, now time.Time) {
 	alive := v.Fleet.Alive(now)
 	source, self := v.first(v.Fleet.Near(now))
@@ -112,7 +123,12 @@
 	if !self {
 		v.ask(now, source, nil)
 	}
-	if self || v.Age(now) > readAge {
+	stale := v.Age(now) > readAge
+	read := self
+	if stale {
+		read = v.turn(now, alive)
+	}
+	if read {
 		record, asOf, err := v.Parts.Record.Look(ctx)
 		if err == nil {
 			v.take(v.Clock.Now(), asOf, record)
@@ -137,6 +153,28 @@
 	return gossiper.Peer{}, true
 }
 
+// turn reports whether it is this VM's turn to read while nobody's knowledge is
+// fresh, and asks one of those whose turn is more often.
+func (v *Voucher) turn(now time.Time, alive []gossiper.Peer) bool {
+	names := []string{v.Name}
+	for _, p := range alive {
+		if !p.Leaving {
+			names = append(names, p.Name)
+		}
+	}
+	ranked := placer.Rank(duty, names)
+	v.steps++
+	asked := ranked[v.steps%min(askedWhenStale, len(ranked))]
+	for _, p := range alive {
+		if p.Name == asked {
+			v.ask(now, p, nil)
+		}
+	}
+	rank := slices.Index(ranked, v.Name)
+	turns := (len(ranked) + readers - 1) / readers
+	return rank < readers || v.steps%turns == rank/readers
+}
+
 // Record returns the record as last heard.
 func (v *Voucher) Record() leaser.Record {
 	v.mu.Lock()
--- a/voucher/voucher_test.go
+++ b/voucher/voucher_test.go
@@ -27,6 +27,7 @@
 	mu     sync.Mutex
 	record leaser.Record
 	down   bool
+	looks  int
 	vms    []*vm
 	group  errgroup.Group
 }
@@ -51,6 +52,7 @@
 	time.Sleep(4 * time.Millisecond)
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
+	v.w.looks++
 	if v.w.down || !v.store {
 		return leaser.Record{}, asked, eris.New("no answer")
 	}
@@ -217,3 +219,31 @@
 	g.Expect(v.Answer(time.Now(), []byte{0xff, 1, 2})).To(BeNil())
 	v.Hear(time.Now(), []byte("garbage"))
 }
+
+// While the store does not answer, a large fleet asks it about as often as a
+// small one, and all know the record again soon after it is back.
+func TestFewReadWhileTheStoreIsDown(t *testing.T) {
+	const (
+		outage = 20 * time.Second
+		steps  = int(outage / (400 * time.Millisecond))
+	)
+	for _, vms := range []int{8, 72} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			play(t, vms, func(g *WithT, w *world) {
+				g.Expect(w.vouching()).To(Equal(vms))
+				w.mu.Lock()
+				w.down, w.looks = true, 0
+				w.mu.Unlock()
+				time.Sleep(outage)
+				g.Expect(w.vouching()).To(BeZero())
+				w.mu.Lock()
+				// The designated reader, two more, and two by turns; one step more at each end.
+				g.Expect(w.looks).To(BeNumerically("<=", 5*(steps+2)))
+				w.down = false
+				w.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				g.Expect(w.vouching()).To(Equal(vms))
+			})
+		})
+	}
+}
