perf: a third of an instance's connections is left free

Ruled out: waiting longer between tries (no room, whoever tries).

Now the shares are worked out in one place and leave a third free.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,8 +85,7 @@
 	if most == 0 {
 		most = defaultConnections
 	}
-	share := max(1, most/d.vms)
-	return connector.Bounds{Share: share, Most: most}
+	return connector.Divide(most, d.vms)
 }
 
 // defaultConnections is assumed of a group before its configuration is known.
