fix: a primary that comes back as a new process in its term is taken for the primary

The observer took a primary of a later term only, so the former id stayed the primary of its term for all VMs. The switcher then chose the new process as the successor; the platform answers 200 and changes nothing for the present primary, so the term did not grow, and the replacement was begun anew 77 times.

Now an instance that says that it leads the known term under another id is taken for the primary: only one instance leads a term. Another VM's word for it counts once the platform lists it and no longer the former. A group whose primary is not listed any more is asked as one whose primary is not known.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -198,6 +198,9 @@
 	p.Dispatcher.SetInstances(came, went)
 	for _, i := range came {
 		p.noteInstance("instance-came", i)
+		if i.Leads && p.Observer.Unlisted(i.Group) {
+			p.Dispatcher.Ask(i.Group)
+		}
 	}
 	for _, i := range went {
 		p.noteInstance("instance-went", i)
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -65,9 +65,9 @@
 	d.ask(group)
 }
 
-// askUnknown asks a group unless its primary is known.
+// askUnknown asks a group unless its primary is known and listed.
 func (d *Dispatcher) askUnknown(group string) {
-	if _, _, ok := d.Observer.Primary(group); !ok {
+	if _, _, ok := d.Observer.Primary(group); !ok || d.Observer.Unlisted(group) {
 		d.ask(group)
 	}
 }
@@ -105,7 +105,9 @@
 func (d *Dispatcher) survey(ctx context.Context, group string) {
 	primary, _, known := d.Observer.Primary(group)
 	all := d.Observer.Instances(group)
-	if !known {
+	p := slices.IndexFunc(all, func(i observer.Instance) bool { return i.ID == primary })
+	if !known || p < 0 {
+		// A primary that is no longer listed may have come back as a new process.
 		var g errgroup.Group
 		for _, i := range all {
 			g.Go(func() error {
@@ -117,8 +119,7 @@
 		return
 	}
 	var g errgroup.Group
-	p := slices.IndexFunc(all, func(i observer.Instance) bool { return i.ID == primary })
-	if p >= 0 && d.Observer.NeedsSample(group, d.Clock.Now()) {
+	if d.Observer.NeedsSample(group, d.Clock.Now()) {
 		asked := d.Clock.Now()
 		g.Go(func() error {
 			d.askStatusAt(ctx, all[p], asked)
--- a/observer/primary.go
+++ b/observer/primary.go
@@ -91,7 +91,8 @@
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
 	switch {
-	case st.Leads && st.Term > g.term:
+	case st.Leads && (st.Term > g.term || st.Term == g.term && i.ID != g.primary):
+		// Only one instance leads a term: another id is its new process.
 		g.take(now, i.ID, st.Term)
 		g.addSample(asked, st.Received)
 		return true
@@ -109,12 +110,23 @@
 	return false
 }
 
+// Unlisted reports whether the platform no longer lists the primary of a group.
+func (o *Observer) Unlisted(group string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := o.group(group)
+	return g.primary != "" && g.instances[g.primary] == nil
+}
+
 // Lead takes another VM's word that an instance leads a term, and reports whether that was news.
 func (o *Observer) Lead(now time.Time, group, id string, term uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(group)
-	if term <= g.term {
+	// The primary's process has a successor in the same term when the platform
+	// lists that one and no longer the former; old news must not undo that.
+	reborn := term == g.term && id != g.primary && g.instances[id] != nil && g.instances[g.primary] == nil
+	if term <= g.term && !reborn {
 		return false
 	}
 	g.take(now, id, term)
--- /dev/null
+++ b/observer/reborn_test.go
@@ -0,0 +1,56 @@
+package observer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
+
+// A primary that crashed and came back before it was replaced leads the same
+// term under the id of its new process.
+func TestPrimaryThatComesBackInItsTerm(t *testing.T) {
+	former, reborn := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
+	leads := phraser.InstanceStatus{Leads: true, Term: 1, Received: tracker.Position{Term: 1, Offset: 9}}
+	tests := []struct {
+		name  string
+		learn func(o *observer.Observer) bool
+		want  string
+	}{
+		{"by its status", func(o *observer.Observer) bool {
+			o.SetInstances([]observer.Instance{reborn})
+			return o.ObserveStatus(start, start, reborn, leads)
+		}, "b"},
+		{"from another VM", func(o *observer.Observer) bool {
+			o.SetInstances([]observer.Instance{reborn})
+			return o.Lead(start, "g", "b", 1)
+		}, "b"},
+		{"from another VM, while the former is still listed", func(o *observer.Observer) bool {
+			o.SetInstances([]observer.Instance{former, reborn})
+			return o.Lead(start, "g", "b", 1)
+		}, "a"},
+		{"old news of the former", func(o *observer.Observer) bool {
+			o.SetInstances([]observer.Instance{reborn})
+			return o.Lead(start, "g", "b", 1) && o.Lead(start, "g", "a", 1)
+		}, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			o := observer.New(func(string) time.Duration { return time.Millisecond })
+			o.SetInstances([]observer.Instance{former})
+			g.Expect(o.ObserveStatus(start, start, former, leads)).To(BeTrue())
+			g.Expect(o.Unlisted("g")).To(BeFalse())
+			g.Expect(tt.learn(o)).To(Equal(tt.name == "by its status" || tt.name == "from another VM"))
+			primary, term, known := o.Primary("g")
+			g.Expect(primary).To(Equal(tt.want))
+			g.Expect(term).To(BeEquivalentTo(1))
+			g.Expect(known).To(BeTrue())
+			g.Expect(o.Unlisted("g")).To(BeFalse())
+		})
+	}
+}
