fix: an instance that does not answer those who connect counts as silent

VMs that held no connection to it only saw that none was free: a dial takes a second to fail, and whoever waits for it leaves the line after 0.1 to 0.4 s and never hears of the failure. "No connection was free" was taken for a busy instance, so the primary never counted as unreached, and nobody voted.

Now a pool tells since when its dials go without any answer, after half a second or once one has failed, and the observer takes that for silence since then, unless the instance answered others meanwhile. A refusal is an answer.

Ruled out: a shorter time for dials; the handshake waits for a slot, and on a busy instance it may take longer than a caller waits.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -35,6 +35,9 @@
 	// of a returning connection go before it: they spare the instance a new
 	// connection, which costs it half of a short statement.
 	overtakenFor = 250 * time.Millisecond
+	// stalledAfter is how long a connection may take to open: as long as a
+	// statement of the product may go without an answer.
+	stalledAfter = 500 * time.Millisecond
 	// heldWeight is the weight of a new measurement in the mean time of use.
 	heldWeight = 0.1
 	// idleFor is how long an idle connection is kept.
@@ -63,11 +66,15 @@
 	held      time.Duration
 	closed    bool
 	opened    uint64
+	// pending are the dials under way with their beginnings; failedSince is when
+	// the first of the last dials began that brought no answer at all.
+	pending     map[*waiter]time.Time
+	failedSince time.Time
 }
 
 // NewPool returns an empty Pool.
 func NewPool(t Target, d Dialer, c clocker.Clock, b Bounds) *Pool {
-	return &Pool{target: t, dialer: d, clock: c, bounds: b}
+	return &Pool{target: t, dialer: d, clock: c, bounds: b, pending: map[*waiter]time.Time{}}
 }
 
 // SetBounds changes how many connections may be held.
@@ -117,6 +124,7 @@
 		p.open++
 		p.dialling++
 		w.dialling = true
+		p.pending[w] = now
 		p.dials.Go(func() error {
 			p.dial(w)
 			return nil
@@ -170,6 +178,8 @@
 	defer p.mu.Unlock()
 	p.dialling--
 	w.dialling = false
+	delete(p.pending, w)
+	p.noteDial(began, err)
 	if err != nil {
 		p.open--
 		p.failed(now, w, err)
@@ -187,6 +197,30 @@
 	p.pass(now, l)
 }
 
+// noteDial notes whether the instance answered a dial. The lock is held.
+func (p *Pool) noteDial(began time.Time, err error) {
+	var r *Refusal
+	if err == nil || errors.As(err, &r) {
+		p.failedSince = time.Time{}
+	} else if p.failedSince.IsZero() {
+		p.failedSince = began
+	}
+}
+
+// Stalled returns since when the instance has not answered those who connect to
+// it; ok is false while it does, or may yet do so in time.
+func (p *Pool) Stalled(now time.Time) (since time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since = p.failedSince
+	for _, began := range p.pending {
+		if now.Sub(began) >= stalledAfter && (since.IsZero() || began.Before(since)) {
+			since = began
+		}
+	}
+	return since, !since.IsZero()
+}
+
 // failed tells a waiter that its connection could not be opened. Without room
 // it stays in line. The lock is held.
 func (p *Pool) failed(now time.Time, w *waiter, err error) {
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -178,3 +178,51 @@
 		g.Expect(group.Wait()).To(Succeed())
 	})
 }
+
+// dark is an instance that never answers who connects.
+type dark struct{}
+
+func (dark) Dial(ctx context.Context, _ connector.Target, _ string) (connector.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Callers leave the line before a dial to a dark instance times out; the pool
+// still tells that the instance does not answer.
+func TestStalledDials(t *testing.T) {
+	tests := []struct {
+		name   string
+		dialer connector.Dialer
+		want   bool
+	}{
+		{"dark", dark{}, true},
+		{"full", &instance{most: 0}, false},
+		{"open", &instance{most: 5}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				began := time.Now()
+				p := connector.NewPool(connector.Target{}, tt.dialer, clocker.Func(time.Now), connector.Bounds{Share: 2, Most: 5})
+				_, ok := p.Stalled(time.Now())
+				g.Expect(ok).To(BeFalse())
+				if l, err := p.Acquire(t.Context(), "a", 0, 100*time.Millisecond); err == nil {
+					l.Release(time.Now(), true)
+				}
+				_, ok = p.Stalled(time.Now())
+				g.Expect(ok).To(BeFalse(), "it may yet answer")
+				for _, after := range []time.Duration{600 * time.Millisecond, 3 * time.Second} {
+					time.Sleep(began.Add(after).Sub(time.Now()))
+					since, ok := p.Stalled(time.Now())
+					g.Expect(ok).To(Equal(tt.want))
+					if tt.want {
+						g.Expect(since).To(Equal(began))
+					}
+				}
+				p.Close()
+				p.Wait()
+			})
+		})
+	}
+}
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -181,7 +181,7 @@
 	d.Observer.Begin(i)
 	link, err := pool.Borrow(ctx)
 	if err != nil {
-		d.failControl(i, err)
+		d.failControl(pool, i, err)
 		return phraser.InstanceStatus{}, err
 	}
 	sent := d.Clock.Now()
@@ -200,13 +200,16 @@
 }
 
 // failControl tells the observer why no connection could be had.
-func (d *Dispatcher) failControl(i observer.Instance, err error) {
+func (d *Dispatcher) failControl(pool *connector.Pool, i observer.Instance, err error) {
 	var refusal *connector.Refusal
-	if errors.As(err, &refusal) || errors.Is(err, connector.ErrNoRoom) {
+	switch {
+	case errors.As(err, &refusal):
 		d.Observer.Abandon(i)
-		return
+	case errors.Is(err, connector.ErrNoRoom):
+		d.noRoom(pool, i)
+	default:
+		d.Observer.Fail(d.Clock.Now(), i)
 	}
-	d.Observer.Fail(d.Clock.Now(), i)
 }
 
 // errGone means that an instance left the platform's list.
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -61,7 +61,7 @@
 		return nil, phraser.Refuse(refusal.Result, refusal.Detail)
 	}
 	if errors.Is(err, connector.ErrNoRoom) {
-		d.Observer.Abandon(i)
+		d.noRoom(pool, i)
 		st := pool.Stats()
 		d.Journal.Request("no-connection", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("open", st.Open), journaler.F("idle", st.Idle),
 			journaler.F("dialling", st.Dialling), journaler.F("waiting", st.Waiting), journaler.F("share", st.Share), journaler.F("full-times", st.FullTimes))
@@ -72,6 +72,17 @@
 	return nil, phraser.Refuse(phraser.Busy, err.Error())
 }
 
+// noRoom tells the observer that no connection was free: either others use them,
+// or the instance does not answer those who connect.
+func (d *Dispatcher) noRoom(pool *connector.Pool, i observer.Instance) {
+	now := d.Clock.Now()
+	if since, ok := pool.Stalled(now); ok {
+		d.Observer.Silent(now, since, i)
+		return
+	}
+	d.Observer.Abandon(i)
+}
+
 // connectShare is the part of a route's target within which a connection must
 // be found; then another instance is tried.
 const connectShare = 2
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -220,6 +220,12 @@
 
 // Fail notes that an instance could not be reached or did not answer.
 func (o *Observer) Fail(now time.Time, i Instance) {
+	o.Silent(now, now, i)
+}
+
+// Silent notes that an instance has not answered since a time, unless it has
+// answered others of this VM meanwhile.
+func (o *Observer) Silent(now, since time.Time, i Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
@@ -228,9 +234,12 @@
 		return
 	}
 	s.underWay--
+	if s.answered.After(since) {
+		return
+	}
 	s.suspectUntil = now.Add(min(suspectFirst<<min(s.failures, 8), suspectMost))
 	s.failures++
 	if i.ID == g.primary && g.unreached.IsZero() {
-		g.unreached = now
+		g.unreached = since
 	}
 }
