perf: idle connections are kept for a second where VMs are more than connections

Kept for 15 s, the idle ones fill the instance for seconds after a loss of power.

Sites with fewer VMs than connections do not change.

--- a/connector/bounds.go
+++ b/connector/bounds.go
@@ -1,5 +1,7 @@
 package connector
 
+import "time"
+
 // Bounds limits the connections of this VM to one instance.
 type Bounds struct {
 	// Share is the number of connections that this VM may hold at any time: the
@@ -8,6 +10,8 @@
 	// Most is the largest number of connections; those beyond the share are
 	// opened one by one while the instance has room, and not kept idle.
 	Most int
+	// IdleFor is how long a connection is kept without use.
+	IdleFor time.Duration
 }
 
 // keptFree is the part of an instance's connections that all shares together
@@ -16,8 +20,21 @@
 // A third is the smallest part that gave all of the gain on both users' sites.
 const keptFree = 1.0 / 3
 
+const (
+	// idleFor is how long an idle connection is kept.
+	idleFor = 15 * time.Second
+	// idleForCrowded is that time where the VMs are too many for a connection
+	// each: long enough for the next statement of a caller.
+	idleForCrowded = time.Second
+)
+
 // Divide returns the bounds of each of some VMs at an instance that takes most
 // connections.
 func Divide(most, vms int) Bounds {
-	return Bounds{Share: max(1, int(float64(most)*(1-keptFree)/float64(max(vms, 1)))), Most: most}
+	share := float64(most) * (1 - keptFree) / float64(max(vms, 1))
+	b := Bounds{Share: max(1, int(share)), Most: most, IdleFor: idleFor}
+	if share < 1 {
+		b.IdleFor = idleForCrowded
+	}
+	return b
 }
--- a/connector/bounds_test.go
+++ b/connector/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -34,3 +35,11 @@
 		})
 	}
 }
+
+// With more VMs than connections each still may hold one, so none of them keeps
+// it idle for long.
+func TestIdleConnectionsAreKeptByFewVMsOnly(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(connector.Divide(21, 8).IdleFor).To(Equal(15 * time.Second))
+	g.Expect(connector.Divide(74, 71).IdleFor).To(Equal(time.Second))
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -40,8 +40,6 @@
 	stalledAfter = 500 * time.Millisecond
 	// heldWeight is the weight of a new measurement in the mean time of use.
 	heldWeight = 0.1
-	// idleFor is how long an idle connection is kept.
-	idleFor = 15 * time.Second
 )
 
 // ErrNoRoom means that no connection was free before the context ended.
@@ -244,7 +242,7 @@
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].idleFrom) > idleFor {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleFrom) > p.bounds.IdleFor {
 		p.discard(p.idle[0])
 		p.idle = p.idle[1:]
 	}
