--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -213,7 +213,7 @@
 				_, ok = p.Stalled(time.Now())
 				g.Expect(ok).To(BeFalse(), "it may yet answer")
 				for _, after := range []time.Duration{600 * time.Millisecond, 3 * time.Second} {
-					time.Sleep(began.Add(after).Sub(time.Now()))
+					time.Sleep(time.Until(began.Add(after)))
 					since, ok := p.Stalled(time.Now())
 					g.Expect(ok).To(Equal(tt.want))
 					if tt.want {
