fix: a leaving instance gets no new work after its time, be it the primary

Now the time that an instance may take is a setting, filled from the platform's bound, and statements are sent there until two seconds before, also to a primary. The test of the observer fails on the code before.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -88,7 +88,7 @@
 		default:
 			return serviceTime + otherRegion
 		}
-	})
+	}, s.Drain)
 }
 
 // newBorrower returns the borrower of this VM.
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -194,7 +194,7 @@
 // takeInstances lets the parts know which instances there are.
 func (p *Proxy) takeInstances() {
 	list := p.State.roll.Instances(p.Parts.Clock.Now())
-	came, went, turned := p.Observer.SetInstances(list)
+	came, went, turned := p.Observer.SetInstances(p.Parts.Clock.Now(), list)
 	p.Dispatcher.SetInstances(came, went)
 	for _, i := range came {
 		p.noteInstance("instance-came", i)
--- a/assembler/reloading.go
+++ b/assembler/reloading.go
@@ -42,7 +42,8 @@
 // apply puts settings in force that can change while the process runs.
 func (p *Proxy) apply(old, next loader.Hosted, signalled bool) {
 	p.Sessions.SetGrace(next.Grace)
-	fixed := !reflect.DeepEqual(old.VM, next.VM) || old.Listen != next.Listen || old.Platform != next.Platform || old.Log != next.Log
+	fixed := !reflect.DeepEqual(old.VM, next.VM) || old.Listen != next.Listen || old.Platform != next.Platform || old.Log != next.Log ||
+		old.Lease != next.Lease || old.Drain != next.Drain
 	p.Journal.Belief("settings-reloaded", journaler.F("signalled", signalled), journaler.F("changed", true),
 		journaler.F("needs-restart", fixed))
 }
--- a/loader/hosted.go
+++ b/loader/hosted.go
@@ -25,6 +25,8 @@
 	Platform HostedPlatform `yaml:"platform"`
 	// Grace is how long a stop may take.
 	Grace time.Duration `yaml:"grace"`
+	// Drain is how long an instance that announces its end takes new work.
+	Drain time.Duration `yaml:"drain"`
 	// Lease is how long the duty of replacing primaries stays with a VM that is silent.
 	Lease time.Duration `yaml:"lease"`
 	// Log tells what is logged.
@@ -88,6 +90,7 @@
 // Default fills the fields that were left out.
 func (h *Hosted) Default() {
 	fill(&h.Grace, 6*time.Second)
+	fill(&h.Drain, 7*time.Second)
 	fill(&h.Lease, 5*time.Second)
 	fill(&h.Log.Level, "info")
 }
@@ -112,6 +115,7 @@
 	_, err := log.ParseLevel(h.Log.Level)
 	demand(err == nil, "log.level must be debug, info, warn or error")
 	demand(h.Grace >= time.Second, "grace must be a second or more")
+	demand(h.Drain >= 3*time.Second, "drain must be three seconds or more")
 	demand(h.Lease >= time.Second, "lease must be a second or more")
 	return faults
 }
--- a/loader/hosted_test.go
+++ b/loader/hosted_test.go
@@ -16,6 +16,7 @@
 	h, err := loader.LoadHosted("testdata/hosted.yaml")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(h.Lease).To(Equal(4 * time.Second))
+	g.Expect(h.Drain).To(Equal(7 * time.Second))
 	g.Expect(h.Listen.Peers.String()).To(Equal("10.1.0.26:7560"))
 	g.Expect(h.Log.Level).To(Equal("info"))
 }
@@ -27,6 +28,7 @@
 		{"no address", `callers: "10.1.0.26:8465"`, `callers: "somewhere"`, "hosted.yaml:"},
 		{"unknown field", `grace: "6s"`, `graec: "6s"`, `did you mean "grace"?`},
 		{"too short", `lease: "4000ms"`, `lease: "4ms"`, "lease must be a second or more"},
+		{"too short a drain", `grace: "6s"`, "grace: 6s\ndrain: 2s", "drain must be three seconds or more"},
 		{"no name", `id: "edge-1"`, `id: ""`, "vm.id is missing"},
 	}
 	raw, err := os.ReadFile("testdata/hosted.yaml")
--- /dev/null
+++ b/observer/leaving_test.go
@@ -0,0 +1,43 @@
+package observer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+// An instance that announced its end gets no new work once its time is nearly
+// over, not even as a primary that nobody has replaced yet.
+func TestLeavingInstanceGetsNoWorkAfterItsTime(t *testing.T) {
+	const drain = 7 * time.Second
+	tests := []struct {
+		name  string
+		lead  bool
+		after time.Duration
+		want  string
+	}{
+		{"a write soon after", true, time.Second, "a"},
+		{"a write when the time is nearly over", true, drain - 2*time.Second, ""},
+		{"a read soon after, with no other left", false, time.Second, "a"},
+		{"a read when the time is nearly over", false, drain - 2*time.Second, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			o := observer.New(func(string) time.Duration { return time.Millisecond }, drain)
+			a, b := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
+			o.SetInstances(start, []observer.Instance{a, b})
+			o.ObserveStatus(start, start, a, phraser.InstanceStatus{Leads: true, Term: 1})
+			a.Leaving = true
+			o.SetInstances(start, []observer.Instance{a, b})
+			o.SetInstances(start.Add(tt.after), []observer.Instance{a, b})
+			i, ok := o.Choose(start.Add(tt.after), observer.Need{Group: "g", Lead: tt.lead, Tried: []string{"b"}})
+			g.Expect(ok).To(Equal(tt.want != ""))
+			g.Expect(i.ID).To(Equal(tt.want))
+		})
+	}
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -21,19 +21,25 @@
 // Observer knows the instances of all groups. It is safe for concurrent use.
 type Observer struct {
 	distance Distance
+	leaving  time.Duration
 
 	mu     sync.Mutex
 	groups map[string]*groupState
 }
 
-// New returns an Observer that knows nothing.
-func New(d Distance) *Observer {
-	return &Observer{distance: d, groups: map[string]*groupState{}}
+// New returns an Observer that knows nothing. Instances that announce their end
+// take new work for a time that is called leaving.
+func New(d Distance, leaving time.Duration) *Observer {
+	return &Observer{distance: d, leaving: leaving, groups: map[string]*groupState{}}
 }
 
-// SetInstances takes the platform's list and returns the instances that came,
+// leavingMargin is left of the time in which a leaving instance takes new work,
+// for the way of its announcement to this VM and of a statement to the instance.
+const leavingMargin = 2 * time.Second
+
+// SetInstances takes the platform's list at now and returns the instances that came,
 // went, and see themselves in another role than before.
-func (o *Observer) SetInstances(list []Instance) (came, went, turned []Instance) {
+func (o *Observer) SetInstances(now time.Time, list []Instance) (came, went, turned []Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	listed := map[string]bool{}
@@ -47,7 +53,9 @@
 		}
 		if s == nil {
 			base := o.distance(i.AvailabilityZone)
-			g.instances[i.ID] = &instanceState{Instance: i, base: base, latency: base}
+			s = &instanceState{Instance: i, base: base, latency: base}
+			s.noteLeaving(now)
+			g.instances[i.ID] = s
 			came = append(came, i)
 			continue
 		}
@@ -55,6 +63,7 @@
 			turned = append(turned, i)
 		}
 		s.Instance = i
+		s.noteLeaving(now)
 	}
 	for _, g := range o.groups {
 		for id, s := range g.instances {
@@ -105,7 +114,7 @@
 	g := o.group(n.Group)
 	if n.Lead {
 		s := g.instances[g.primary]
-		if s == nil || g.deposed || slices.Contains(n.Tried, g.primary) {
+		if s == nil || g.deposed || o.left(now, s) || slices.Contains(n.Tried, g.primary) {
 			return Instance{}, false
 		}
 		return s.Instance, true
@@ -113,7 +122,7 @@
 	var best *instanceState
 	var least time.Duration
 	for _, s := range g.instances {
-		if slices.Contains(n.Tried, s.ID) || (s.Leaving && s.ID != g.primary) {
+		if slices.Contains(n.Tried, s.ID) || (s.Leaving && s.ID != g.primary) || o.left(now, s) {
 			continue
 		}
 		cost := s.expected(now)
@@ -136,6 +145,12 @@
 	return best.Instance, true
 }
 
+// left reports whether an instance that announced its end takes no new work any
+// more, be it the primary.
+func (o *Observer) left(now time.Time, s *instanceState) bool {
+	return s.Leaving && now.Sub(s.leavingSince) >= o.leaving-leavingMargin
+}
+
 const (
 	// suspectPenalty makes an instance that failed a moment ago the last resort.
 	suspectPenalty = 10 * time.Second
--- a/observer/reborn_test.go
+++ b/observer/reborn_test.go
@@ -22,27 +22,27 @@
 		want  string
 	}{
 		{"by its status", func(o *observer.Observer) bool {
-			o.SetInstances([]observer.Instance{reborn})
+			o.SetInstances(start, []observer.Instance{reborn})
 			return o.ObserveStatus(start, start, reborn, leads)
 		}, "b"},
 		{"from another VM", func(o *observer.Observer) bool {
-			o.SetInstances([]observer.Instance{reborn})
+			o.SetInstances(start, []observer.Instance{reborn})
 			return o.Lead(start, "g", "b", 1)
 		}, "b"},
 		{"from another VM, while the former is still listed", func(o *observer.Observer) bool {
-			o.SetInstances([]observer.Instance{former, reborn})
+			o.SetInstances(start, []observer.Instance{former, reborn})
 			return o.Lead(start, "g", "b", 1)
 		}, "a"},
 		{"old news of the former", func(o *observer.Observer) bool {
-			o.SetInstances([]observer.Instance{reborn})
+			o.SetInstances(start, []observer.Instance{reborn})
 			return o.Lead(start, "g", "b", 1) && o.Lead(start, "g", "a", 1)
 		}, "b"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
-			o := observer.New(func(string) time.Duration { return time.Millisecond })
-			o.SetInstances([]observer.Instance{former})
+			o := observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)
+			o.SetInstances(start, []observer.Instance{former})
 			g.Expect(o.ObserveStatus(start, start, former, leads)).To(BeTrue())
 			g.Expect(o.Unlisted("g")).To(BeFalse())
 			g.Expect(tt.learn(o)).To(Equal(tt.name == "by its status" || tt.name == "from another VM"))
--- a/observer/state.go
+++ b/observer/state.go
@@ -37,11 +37,22 @@
 	answered     time.Time
 	lacked       tracker.Position
 	laggingUntil time.Time
+	leavingSince time.Time
 	// position is where the log stood that the last answer told of, at positionAt.
 	position   tracker.Position
 	positionAt time.Time
 }
 
+// noteLeaving notes since when the instance is known to leave.
+func (s *instanceState) noteLeaving(now time.Time) {
+	switch {
+	case !s.Leaving:
+		s.leavingSince = time.Time{}
+	case s.leavingSince.IsZero():
+		s.leavingSince = now
+	}
+}
+
 // expected returns how long an answer is likely to take.
 func (s *instanceState) expected(now time.Time) time.Duration {
 	latency := s.latency
--- a/observer/view_test.go
+++ b/observer/view_test.go
@@ -27,9 +27,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
-			o := observer.New(func(string) time.Duration { return time.Millisecond })
+			o := observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)
 			a, b := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
-			o.SetInstances([]observer.Instance{a, b})
+			o.SetInstances(start, []observer.Instance{a, b})
 			o.ObserveStatus(start, start, a, phraser.InstanceStatus{Leads: true, Term: 1, Received: at(10)})
 			for n, offset := range []uint64{20, 30} {
 				o.Begin(a)
--- a/voucher/voucher_test.go
+++ b/voucher/voucher_test.go
@@ -106,10 +106,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{}
 		for i := range n {
-			v := &vm{w: w, n: i, store: true, observer: observer.New(func(string) time.Duration { return time.Millisecond })}
+			v := &vm{w: w, n: i, store: true, observer: observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)}
 			v.voucher = voucher.New(voucher.Parts{Name: v.name(), Incarnation: 1, Observer: v.observer, Record: v, Fleet: v,
 				Clock: clocker.Func(time.Now), Lease: observer.ViewLease})
-			v.observer.SetInstances([]observer.Instance{{ID: "p", Group: group}, {ID: "r", Group: group}})
+			v.observer.SetInstances(time.Now(), []observer.Instance{{ID: "p", Group: group}, {ID: "r", Group: group}})
 			v.observer.Lead(time.Now(), group, "p", 1)
 			w.vms = append(w.vms, v)
 		}
