fix: a VM that cannot reach the store leaves the duty to another

The primary was replaced 5.5 s after it announced its end.

Now a call for the duty that brings no answer from the store counts like any other, so the VM says that it is cut off and the next one in rank acts.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -139,6 +139,7 @@
 	started := p.Clock.Now()
 	return switcher.New(switcher.Parts{
 		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Announcer: v, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
+		Reached: func(now time.Time, err error) { st.reached(j, now, err) },
 		Fit: func(now time.Time) bool {
 			regained := time.Unix(0, st.storeRegained.Load())
 			return !sessions.Leaving() && !st.storeLost.Load() && now.Sub(started) >= settleFor && now.Sub(regained) >= settleFor
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -56,15 +56,20 @@
 
 // reached notes whether the store answered.
 func (p *Proxy) reached(now time.Time, err error) {
+	p.State.reached(p.Journal, now, err)
+}
+
+// reached notes whether the store answered.
+func (s *state) reached(j *journaler.Journaler, now time.Time, err error) {
 	if err == nil {
-		if p.State.storeLost.Swap(false) {
-			p.State.storeRegained.Store(now.UnixNano())
-			p.Journal.Belief("store-regained")
+		if s.storeLost.Swap(false) {
+			s.storeRegained.Store(now.UnixNano())
+			j.Belief("store-regained")
 		}
 		return
 	}
-	if !p.State.storeLost.Swap(true) {
-		p.Journal.Belief("store-lost", journaler.Err(err))
+	if !s.storeLost.Swap(true) {
+		j.Belief("store-lost", journaler.Err(err))
 	}
 }
 
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -67,6 +67,8 @@
 	Announcer Announcer
 	// Promoter replaces primaries.
 	Promoter Promoter
+	// Reached is told whether the store answered when the duty was taken.
+	Reached func(now time.Time, err error)
 	// Fit reports whether this VM may take the duty now.
 	Fit func(now time.Time) bool
 	// Clock tells the present time.
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
+	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
@@ -50,6 +52,7 @@
 	}
 	term := newest + 1
 	grant, err := s.Lease.Acquire(ctx, func(r *leaser.Record) { r.Superseded[group] = max(r.Superseded[group], known) })
+	s.noteStore(err)
 	if err != nil {
 		return eris.Wrap(err, "taking the duty")
 	}
@@ -77,6 +80,15 @@
 	return nil
 }
 
+// noteStore tells whether the store answered, so that a VM that is cut off from it
+// leaves the duty to one that is not.
+func (s *Switcher) noteStore(err error) {
+	if errors.Is(err, leaser.ErrHeld) || errors.Is(err, keeper.ErrConflict) {
+		err = nil
+	}
+	s.Reached(s.Clock.Now(), err)
+}
+
 // withdraw takes back that a term is superseded, as no successor was named.
 func (s *Switcher) withdraw(ctx context.Context, group string, term uint64) {
 	_, err := s.Lease.Acquire(ctx, func(r *leaser.Record) {
