--- a/assembler/following.go
+++ b/assembler/following.go
@@ -56,15 +56,20 @@
 
 // reached notes whether the store answered.
 func (p *Proxy) reached(now time.Time, err error) {
+	p.State.reached(p.Journal, now, err)
+}
+
+// reached notes whether the store answered.
+func (s *state) reached(j *journaler.Journaler, now time.Time, err error) {
 	if err == nil {
-		if p.State.storeLost.Swap(false) {
-			p.State.storeRegained.Store(now.UnixNano())
-			p.Journal.Belief("store-regained")
+		if s.storeLost.Swap(false) {
+			s.storeRegained.Store(now.UnixNano())
+			j.Belief("store-regained")
 		}
 		return
 	}
-	if !p.State.storeLost.Swap(true) {
-		p.Journal.Belief("store-lost", journaler.Err(err))
+	if !s.storeLost.Swap(true) {
+		j.Belief("store-lost", journaler.Err(err))
 	}
 }
 
@@ -194,7 +199,7 @@
 // takeInstances lets the parts know which instances there are.
 func (p *Proxy) takeInstances() {
 	list := p.State.roll.Instances(p.Parts.Clock.Now())
-	came, went, turned := p.Observer.SetInstances(list)
+	came, went, turned := p.Observer.SetInstances(p.Parts.Clock.Now(), list)
 	p.Dispatcher.SetInstances(came, went)
 	for _, i := range came {
 		p.noteInstance("instance-came", i)
