--- a/assembler/following.go
+++ b/assembler/following.go
@@ -152,8 +152,12 @@
 	p.spread()
 }
 
-// watchers is the number of VMs of an availability zone that watch the store.
-const watchers = 2
+const (
+	// watchers is the number of VMs of an availability zone that watch the store.
+	watchers = 2
+	// watchDuty names the duty for the ranking of the VMs.
+	watchDuty = "watch-store"
+)
 
 // hold reports whether this VM leaves the store alone because enough others of
 // its availability zone watch it, from whom it hears of changes.
@@ -170,7 +174,7 @@
 			fresh++
 		}
 	}
-	rank := slices.Index(placer.Rank("watch-store", names), p.Parts.Settings.VM.ID)
+	rank := slices.Index(placer.Rank(watchDuty, names), p.Parts.Settings.VM.ID)
 	hold := rank >= watchers && fresh >= watchers && !p.State.storeLost.Load()
 	p.State.watches.Store(!hold)
 	return hold
@@ -190,7 +194,7 @@
 			names = append(names, peer.Name)
 		}
 	}
-	if slices.Index(placer.Rank("watch-store", names), p.Parts.Settings.VM.ID) < watchers {
+	if slices.Index(placer.Rank(watchDuty, names), p.Parts.Settings.VM.ID) < watchers {
 		return 0
 	}
 	return pausePerVM * time.Duration(len(names))
