--- a/observer/observer.go
+++ b/observer/observer.go
@@ -9,6 +9,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -84,12 +85,7 @@
 	for _, s := range o.group(group).instances {
 		out = append(out, s.Instance)
 	}
-	slices.SortFunc(out, func(a, b Instance) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -180,16 +176,25 @@
 	}
 }
 
+// ended takes a statement off those under way and returns the state of its group
+// and of its instance, which is nil once the instance is gone. The lock is held.
+func (o *Observer) ended(i Instance) (*groupState, *instanceState) {
+	g := o.group(i.Group)
+	s := g.instances[i.ID]
+	if s != nil {
+		s.underWay--
+	}
+	return g, s
+}
+
 // End notes the answer to a statement that was sent at a time.
 func (o *Observer) End(now, sent time.Time, i Instance, a phraser.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	g := o.group(i.Group)
-	s := g.instances[i.ID]
+	g, s := o.ended(i)
 	if s == nil {
 		return
 	}
-	s.underWay--
 	g.heard(s, now, sent, a.Position)
 	switch a.Result {
 	case phraser.Done:
@@ -214,9 +219,7 @@
 func (o *Observer) Abandon(i Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.group(i.Group).instances[i.ID]; s != nil {
-		s.underWay--
-	}
+	o.ended(i)
 }
 
 // Answered notes the answer to a question of the product that was sent at a
@@ -224,12 +227,10 @@
 func (o *Observer) Answered(sent time.Time, i Instance, a phraser.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	g := o.group(i.Group)
-	s := g.instances[i.ID]
+	g, s := o.ended(i)
 	if s == nil {
 		return
 	}
-	s.underWay--
 	g.heard(s, sent, sent, a.Position)
 }
 
@@ -243,12 +244,10 @@
 func (o *Observer) Silent(now, since time.Time, i Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	g := o.group(i.Group)
-	s := g.instances[i.ID]
+	g, s := o.ended(i)
 	if s == nil {
 		return
 	}
-	s.underWay--
 	if s.answered.After(since) {
 		return
 	}
