--- a/connector/dialling.go
+++ b/connector/dialling.go
@@ -15,7 +15,7 @@
 		return
 	}
 	for _, w := range p.line {
-		if w.dialling {
+		if p.dialsFor(w) {
 			continue
 		}
 		if !p.mayDial(now) {
@@ -26,8 +26,6 @@
 			p.idle = p.idle[1:]
 		}
 		p.open++
-		p.dialling++
-		w.dialling = true
 		p.pending[w] = now
 		p.dials.Go(func() error {
 			p.dial(w)
@@ -36,19 +34,26 @@
 	}
 }
 
+// dialsFor reports whether a connection is being opened on behalf of a waiter.
+// The lock is held.
+func (p *Pool) dialsFor(w *waiter) bool {
+	_, ok := p.pending[w]
+	return ok
+}
+
 // mayDial reports whether a connection may be opened now. The lock is held.
 func (p *Pool) mayDial(now time.Time) bool {
 	if wait := p.fullUntil.Sub(now); wait > 0 {
 		p.pumpLater(wait)
 		return false
 	}
-	if p.dialling >= dialsAtOnce {
+	if len(p.pending) >= dialsAtOnce {
 		return false
 	}
 	if p.open < p.bounds.Share {
 		return true
 	}
-	return p.dialling == 0 && (p.open < p.bounds.Most || len(p.idle) > 0)
+	return len(p.pending) == 0 && (p.open < p.bounds.Most || len(p.idle) > 0)
 }
 
 // pumpLater looks at the line again after a time. The lock is held.
@@ -73,8 +78,6 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dialling--
-	w.dialling = false
 	delete(p.pending, w)
 	p.noteDial(began, err)
 	if err != nil {
--- a/connector/line.go
+++ b/connector/line.go
@@ -128,7 +128,7 @@
 		return -1
 	}
 	first := p.line[0]
-	if !first.takes(organisation) && !first.dialling && now.Sub(first.since) > overtakenFor {
+	if !first.takes(organisation) && !p.dialsFor(first) && now.Sub(first.since) > overtakenFor {
 		return -1
 	}
 	return slices.IndexFunc(p.line, func(w *waiter) bool { return w.takes(organisation) })
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -53,7 +53,6 @@
 	bounds    Bounds
 	idle      []*Link
 	open      int
-	dialling  int
 	fullTimes int
 	fullUntil time.Time
 	retry     *time.Timer
@@ -83,7 +82,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Dialling: p.dialling, Waiting: len(p.line), Share: p.bounds.Share, FullTimes: p.fullTimes, Opened: p.opened}
+	return Stats{Open: p.open, Idle: len(p.idle), Dialling: len(p.pending), Waiting: len(p.line), Share: p.bounds.Share, FullTimes: p.fullTimes, Opened: p.opened}
 }
 
 // Acquire returns a connection that runs for an organisation. Those of a lower
--- a/connector/waiter.go
+++ b/connector/waiter.go
@@ -12,9 +12,7 @@
 	priority int
 	// within is the time in which it needs the connection; 0 sets no bound.
 	within time.Duration
-	// dialling reports that a connection is being opened on its behalf.
-	dialling bool
-	result   chan result
+	result chan result
 }
 
 // result is what a waiter gets.
