refactor: the VMs that take part in a ranking are named in one place

Voucher, borrower, switcher and the two rankings of those that watch the store each gathered the names of peers that stay, or that also reach the store.

--- a/assembler/following.go
+++ b/assembler/following.go
@@ -9,6 +9,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/follower"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
@@ -163,18 +164,13 @@
 // its availability zone watch it, from whom it hears of changes.
 func (p *Proxy) hold(now time.Time) bool {
 	near := p.Gossiper.Near(now)
-	names := []string{p.Parts.Settings.VM.ID}
 	fresh := 0
 	for _, peer := range near {
-		if peer.StoreUnreachable || peer.Leaving {
-			continue
-		}
-		names = append(names, peer.Name)
-		if peer.Fresh {
+		if peer.Fresh && !peer.StoreUnreachable && !peer.Leaving {
 			fresh++
 		}
 	}
-	rank := slices.Index(placer.Rank(watchDuty, names), p.Parts.Settings.VM.ID)
+	rank := p.watchRank(gossiper.Reaching(p.Parts.Settings.VM.ID, near))
 	hold := rank >= watchers && fresh >= watchers && !p.State.storeLost.Load()
 	p.State.watches.Store(!hold)
 	return hold
@@ -188,18 +184,18 @@
 // mostPause returns the longest pause between two calls to a store that does
 // not answer: short for those that watch it, long for those that leave it to them.
 func (p *Proxy) mostPause(now time.Time) time.Duration {
-	names := []string{p.Parts.Settings.VM.ID}
-	for _, peer := range p.Gossiper.Near(now) {
-		if !peer.Leaving {
-			names = append(names, peer.Name)
-		}
-	}
-	if slices.Index(placer.Rank(watchDuty, names), p.Parts.Settings.VM.ID) < watchers {
+	names := gossiper.Staying(p.Parts.Settings.VM.ID, p.Gossiper.Near(now))
+	if p.watchRank(names) < watchers {
 		return 0
 	}
 	return pausePerVM * time.Duration(len(names))
 }
 
+// watchRank returns this VM's place among some that may watch the store, from 0.
+func (p *Proxy) watchRank(names []string) int {
+	return slices.Index(placer.Rank(watchDuty, names), p.Parts.Settings.VM.ID)
+}
+
 // takeInstances lets the parts know which instances there are.
 func (p *Proxy) takeInstances() {
 	list := p.State.roll.Instances(p.Parts.Clock.Now())
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -80,14 +80,7 @@
 // lender returns the VM that lends the tokens of an organisation.
 func (b *Borrower) lender(now time.Time, organisation string) (at netip.AddrPort, self bool) {
 	alive := b.fleet.Alive(now)
-	names := make([]string, 0, len(alive)+1)
-	names = append(names, b.name)
-	for _, p := range alive {
-		if !p.Leaving {
-			names = append(names, p.Name)
-		}
-	}
-	first := placer.First(organisation, names)
+	first := placer.First(organisation, gossiper.Staying(b.name, alive))
 	for _, p := range alive {
 		if p.Name == first {
 			return p.Address, false
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -109,13 +109,7 @@
 	if !s.Fit(now) {
 		return -1
 	}
-	names := []string{s.Name}
-	for _, p := range peers {
-		if !p.Leaving && !p.StoreUnreachable {
-			names = append(names, p.Name)
-		}
-	}
-	return slices.Index(order(names, s.Announcer.Record().Holder), s.Name)
+	return slices.Index(order(gossiper.Reaching(s.Name, peers), s.Announcer.Record().Holder), s.Name)
 }
 
 // order ranks the VMs that may replace primaries. The one that holds the duty
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -105,6 +105,7 @@
 	}
 	if read {
 		record, asOf, err := v.Parts.Record.Look(ctx)
+		// Without an answer the lease runs out; whoever watches the store says that it is lost.
 		if err == nil {
 			v.take(v.Clock.Now(), asOf, record)
 		}
@@ -113,13 +114,7 @@
 
 // first returns the first of this VM and some others that reach the store.
 func (v *Voucher) first(others []gossiper.Peer) (p gossiper.Peer, self bool) {
-	names := []string{v.Name}
-	for _, p := range others {
-		if !p.StoreUnreachable && !p.Leaving {
-			names = append(names, p.Name)
-		}
-	}
-	first := placer.First(duty, names)
+	first := placer.First(duty, gossiper.Reaching(v.Name, others))
 	for _, p := range others {
 		if p.Name == first {
 			return p, false
@@ -131,13 +126,7 @@
 // turn reports whether it is this VM's turn to read while nobody's knowledge is
 // fresh, and asks one of those whose turn is more often.
 func (v *Voucher) turn(now time.Time, alive []gossiper.Peer) bool {
-	names := []string{v.Name}
-	for _, p := range alive {
-		if !p.Leaving {
-			names = append(names, p.Name)
-		}
-	}
-	ranked := placer.Rank(duty, names)
+	ranked := placer.Rank(duty, gossiper.Staying(v.Name, alive))
 	v.steps++
 	asked := ranked[v.steps%min(askedWhenStale, len(ranked))]
 	for _, p := range alive {
