fix: errors of the duty and of reading the register have a line

A refused or unanswered promotion was logged as accepted=false without its cause, and a register that could not be read left no line at all.

--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// note records an error in dealing with another VM.
+// note records an error of a source of knowledge, if there is one.
 func (p *Proxy) note(decision, vm string, err error) {
 	if err != nil {
 		p.Journal.Belief(decision, journaler.Source(vm), journaler.Err(err))
--- a/assembler/registering.go
+++ b/assembler/registering.go
@@ -30,6 +30,7 @@
 		pause := relistEvery
 		if !p.Gossiper.Seeded(p.Parts.Clock.Now(), relistEvery/2) {
 			page, err := p.Parts.Adapter.Store().List(ctx, vmsPrefix)
+			p.note("register-not-read", "store", err)
 			if err == nil {
 				p.Gossiper.Seed(p.Parts.Clock.Now(), p.addresses(page))
 			} else {
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -169,8 +169,12 @@
 			} else {
 				s.failed.Add(1)
 			}
-			s.Journal.Belief("promotion-sent", journaler.Group(next.Group), journaler.Instance(next.ID),
-				journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", named))
+			fields := []journaler.Field{journaler.Group(next.Group), journaler.Instance(next.ID),
+				journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", named)}
+			if err != nil {
+				fields = append(fields, journaler.Err(err))
+			}
+			s.Journal.Belief("promotion-sent", fields...)
 		}
 		asked := s.Clock.Now()
 		if st, err := s.Controller.Control(ctx, next, phraser.Statement{Kind: phraser.Status}); err == nil && st.Leads {
