fix: a forwarded unit that was long on its way is refused

Cause: a write that a cut-off VM had forwarded lay in the network while its caller was told that the outcome is unknown; it ran when the cut healed, after the caller's next write, and later reads showed the older value.

A VM now gives out stamps of its own boot clock with each answer; the sender sends the last one back, advanced by the time since it came (package dater). The receiver refuses what is older than the time after which a silent VM is given up. No two clocks are compared. Ruled out: deadlines by wall clock.

--- /dev/null
+++ b/dater/dater_test.go
@@ -0,0 +1,67 @@
+package dater_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldgauge/marigoldgauge/dater"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// start is the time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Invariant: whatever the clocks of two VMs show and however long messages take,
+// a message is never taken for younger than it is.
+func TestNoMessageSeemsYoungerThanItIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		// The sender's clock is off by skew.
+		skew := ms("skew", 1e9) - ms("skew-back", 1e9)
+		issuer := dater.NewIssuer(7, start)
+		book := dater.NewBook[string]()
+		now := start
+		for range rapid.IntRange(1, 5).Draw(t, "stamps") {
+			given := now
+			now = now.Add(ms("on-its-way", 5000))
+			book.Take(now.Add(skew), "receiver", issuer.Issue(given))
+			now = now.Add(ms("gap", 40000))
+		}
+		sent := now
+		stamp, ok := book.Present(sent.Add(skew), "receiver")
+		g.Expect(ok).To(BeTrue())
+		now = now.Add(ms("message", 5000))
+		age, ok := issuer.Age(now, stamp)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(age).To(BeNumerically(">=", now.Sub(sent)))
+	})
+}
+
+func TestTheFastestStampIsKept(t *testing.T) {
+	g := NewWithT(t)
+	issuer := dater.NewIssuer(7, start)
+	book := dater.NewBook[string]()
+	book.Take(start.Add(2*time.Millisecond), "a", issuer.Issue(start))
+	book.Take(start.Add(time.Second), "a", issuer.Issue(start.Add(100*time.Millisecond)))
+	s, _ := book.Present(start.Add(time.Second), "a")
+	age, _ := issuer.Age(start.Add(time.Second), s)
+	g.Expect(age).To(Equal(2 * time.Millisecond))
+}
+
+func TestStampsOfAnotherProcessHaveNoAge(t *testing.T) {
+	g := NewWithT(t)
+	_, ok := dater.NewIssuer(7, start).Age(start, dater.NewIssuer(8, start).Issue(start))
+	g.Expect(ok).To(BeFalse())
+}
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -75,6 +75,7 @@
 				f := run(t, demonstrator.Options{Deployment: tt.deployment, For: 8 * time.Second, Failover: true, Alone: tt.alone, Seed: uint64(seed)})
 				g.Expect(f.Broken()).To(BeFalse(), "seed %d", seed)
 				g.Expect(f.Longest).To(BeNumerically("<=", answerWithin), "seed %d", seed)
+				t.Logf("%s alone=%t seed=%d gap=%s", tt.deployment, tt.alone, seed, f.Gap.Round(time.Millisecond))
 				gaps = append(gaps, f.Gap)
 			}
 			slices.Sort(gaps)
--- a/forwarder/beat_test.go
+++ b/forwarder/beat_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	server := forwarder.NewServer(func(string) *pooler.Pool { return nil }, r, nil, nil)
+	server := forwarder.NewServer(func(string) *pooler.Pool { return nil }, r, nil, nil, clocker.Func(time.Now))
 	go func() { _ = server.Serve(ctx, l) }()
 	return r, netip.MustParseAddrPort(l.Addr().String())
 }
@@ -51,7 +51,7 @@
 	defer cancel()
 	r, at := coordinator(ctx, t)
 	r.Handle(beat(2))
-	caller := forwarder.NewCaller((&net.Dialer{}).DialContext)
+	caller := forwarder.NewCaller((&net.Dialer{}).DialContext, clocker.Func(time.Now))
 	defer func() { _ = caller.Close() }()
 	b := beat(1)
 	first, err := caller.Beat(ctx, at, b)
@@ -82,7 +82,7 @@
 					r.Handle(beat(i))
 				}
 				var bytes atomic.Int64
-				caller := forwarder.NewCaller(wirefaker.CountingDialer(&bytes))
+				caller := forwarder.NewCaller(wirefaker.CountingDialer(&bytes), clocker.Func(time.Now))
 				defer func() { _ = caller.Close() }()
 				m := beat(0)
 				for range b.N {
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -13,6 +13,8 @@
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
+	"github.com/marigoldgauge/marigoldgauge/dater"
 	"github.com/marigoldgauge/marigoldgauge/messenger"
 	"github.com/marigoldgauge/marigoldgauge/registrar"
 )
@@ -44,12 +46,17 @@
 type Caller struct {
 	dial Dial
 	pool *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+	// clock and stamps tell how late it is at the other VMs.
+	clock  clocker.Clock
+	stamps *dater.Book[netip.AddrPort]
 }
 
 // NewCaller returns a Caller without connections.
-func NewCaller(dial Dial) *Caller {
+func NewCaller(dial Dial, clock clocker.Clock) *Caller {
 	return &Caller{
-		dial: dial,
+		dial:   dial,
+		clock:  clock,
+		stamps: dater.NewBook[netip.AddrPort](),
 		pool: drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  idleFor,
 			KeyCapacity: connectionsPerVM,
@@ -171,6 +178,25 @@
 
 // Ping reports whether a VM is reached.
 func (c *Caller) Ping(ctx context.Context, to netip.AddrPort) bool {
-	_, err := c.client(ctx, to).Ping(ctx, &messenger.PingRequest{})
-	return err == nil
+	reply, err := c.client(ctx, to).Ping(ctx, &messenger.PingRequest{})
+	if err != nil {
+		return false
+	}
+	c.stamps.Take(c.clock.Now(), to, stampIn(reply.GetStamp()))
+	return true
+}
+
+// present returns the earliest time that it can be at a VM; one from which no
+// stamp came yet is asked for one.
+func (c *Caller) present(ctx context.Context, to netip.AddrPort) (dater.Stamp, error) {
+	if s, ok := c.stamps.Present(c.clock.Now(), to); ok {
+		return s, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if !c.Ping(ctx, to) {
+		return dater.Stamp{}, unreachable{eris.New("the VM does not answer a ping")}
+	}
+	s, _ := c.stamps.Present(c.clock.Now(), to)
+	return s, nil
 }
--- a/forwarder/convert.go
+++ b/forwarder/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/allotter"
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/dater"
 	"github.com/marigoldgauge/marigoldgauge/messenger"
 	"github.com/marigoldgauge/marigoldgauge/pooler"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
@@ -20,6 +21,16 @@
 	return tracker.Position{Term: p.GetTerm(), Offset: p.GetOffset()}
 }
 
+// stampOut writes a stamp as a message.
+func stampOut(s dater.Stamp) *messenger.Stamp {
+	return &messenger.Stamp{Process: s.Process, AtMicroseconds: s.At.Microseconds()}
+}
+
+// stampIn reads a stamp from a message.
+func stampIn(m *messenger.Stamp) dater.Stamp {
+	return dater.Stamp{Process: m.GetProcess(), At: time.Duration(m.GetAtMicroseconds()) * time.Microsecond}
+}
+
 // askOut writes an ask as a message.
 func askOut(a pooler.Ask) *messenger.Ask {
 	return &messenger.Ask{
--- a/forwarder/remote.go
+++ b/forwarder/remote.go
@@ -41,6 +41,11 @@
 		m.Ask = askOut(r.ask)
 	}
 	batchOut(b, m)
+	sent, err := r.caller.present(ctx, r.to)
+	if err != nil {
+		return pooler.Result{}, err
+	}
+	m.Sent = stampOut(sent)
 	r.since.Store(r.router.clock.Now().UnixNano())
 	defer r.since.Store(0)
 	if err := r.send(m); err != nil {
@@ -57,6 +62,7 @@
 			}
 		}
 		if end := reply.GetEnd(); end != nil {
+			r.caller.stamps.Take(r.router.clock.Now(), r.to, stampIn(end.GetStamp()))
 			r.ended = end.GetCode() != 0 || end.GetTransactionStatus() == 'I'
 			return endIn(end)
 		}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -11,7 +13,9 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/dater"
 	"github.com/marigoldgauge/marigoldgauge/messenger"
 	"github.com/marigoldgauge/marigoldgauge/pooler"
 	"github.com/marigoldgauge/marigoldgauge/registrar"
@@ -23,14 +27,17 @@
 	beats     Beats
 	canceller Canceller
 	relay     *Router
+	clock     clocker.Clock
+	issuer    *dater.Issuer
 	active    atomic.Int64
 	leaving   atomic.Bool
 }
 
 // NewServer returns the Server of a VM; local returns its own pools.
 // The router passes on the asks of VMs that cannot reach an owner; nil passes none.
-func NewServer(local func(group string) *pooler.Pool, b Beats, c Canceller, r *Router) *Server {
-	return &Server{local: local, beats: b, canceller: c, relay: r}
+func NewServer(local func(group string) *pooler.Pool, b Beats, c Canceller, r *Router, clock clocker.Clock) *Server {
+	process := rand.Uint64N(math.MaxUint64) + 1
+	return &Server{local: local, beats: b, canceller: c, relay: r, clock: clock, issuer: dater.NewIssuer(process, clock.Now())}
 }
 
 // Serve answers the other VMs until ctx ends.
@@ -109,7 +116,7 @@
 
 // Ping tells that this VM is reached.
 func (s *Server) Ping(context.Context, *messenger.PingRequest) (*messenger.PingReply, error) {
-	return &messenger.PingReply{}, nil
+	return &messenger.PingReply{Stamp: s.stamp()}, nil
 }
 
 // Observe tells whether this VM reaches an instance.
@@ -138,7 +145,7 @@
 	}
 	pool := s.local(first.GetAsk().GetGroup())
 	if pool == nil {
-		return stream.Send(&messenger.WorkReply{End: endOut(pooler.Result{}, coder.New(coder.RouteUnknown, "no such group"))})
+		return s.end(stream, pooler.Result{}, coder.New(coder.RouteUnknown, "no such group"))
 	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
@@ -200,8 +207,12 @@
 // exchange runs batches until the unit of work ends.
 func (s *Server) exchange(ctx context.Context, stream messenger.DRPCPeer_WorkStream, work unit, m *messenger.WorkRequest, requests <-chan *messenger.WorkRequest) error {
 	for {
-		result, err := work.Exchange(ctx, batchIn(m), streamSink{stream})
-		if sendErr := stream.Send(&messenger.WorkReply{End: endOut(result, err)}); sendErr != nil {
+		var result pooler.Result
+		err := s.outdated(m)
+		if err == nil {
+			result, err = work.Exchange(ctx, batchIn(m), streamSink{stream})
+		}
+		if sendErr := s.end(stream, result, err); sendErr != nil {
 			return sendErr
 		}
 		if err != nil || result.TransactionStatus == 'I' {
@@ -215,6 +226,31 @@
 	}
 }
 
+// end ends the answer to a batch.
+func (s *Server) end(stream messenger.DRPCPeer_WorkStream, r pooler.Result, err error) error {
+	m := endOut(r, err)
+	m.Stamp = s.stamp()
+	return stream.Send(&messenger.WorkReply{End: m})
+}
+
+// stamp returns the present time for the VM that asked.
+func (s *Server) stamp() *messenger.Stamp {
+	return stampOut(s.issuer.Issue(s.clock.Now()))
+}
+
+// outdated refuses a batch that was on its way for so long that its VM may have
+// given it up: run now, it could undo what its caller did since.
+func (s *Server) outdated(m *messenger.WorkRequest) error {
+	age, ok := s.issuer.Age(s.clock.Now(), stampIn(m.GetSent()))
+	if !ok {
+		return coder.New(coder.OwnerMoved, "the batch was meant for another process")
+	}
+	if age > waitBefore {
+		return coder.New(coder.OwnerMoved, "the batch was on its way for too long")
+	}
+	return nil
+}
+
 // streamSink passes frames on to the VM that asked.
 type streamSink struct {
 	stream messenger.DRPCPeer_WorkStream
--- a/runner/constructors.go
+++ b/runner/constructors.go
@@ -50,7 +50,7 @@
 
 // newCaller builds the client of the other VMs.
 func newCaller(e Environment, security Security) *forwarder.Caller {
-	return forwarder.NewCaller(security.dialPeers(e.Dial))
+	return forwarder.NewCaller(security.dialPeers(e.Dial), e.Clock)
 }
 
 // newRegistrar builds the part that takes part in the cell.
@@ -180,8 +180,8 @@
 }
 
 // newPeerServer builds the part that serves the other VMs.
-func newPeerServer(m *pooler.Manager, reg *registrar.Registrar, a *acceptor.Acceptor, r *forwarder.Router) *forwarder.Server {
-	return forwarder.NewServer(m.Pool, reg, a, r)
+func newPeerServer(e Environment, m *pooler.Manager, reg *registrar.Registrar, a *acceptor.Acceptor, r *forwarder.Router) *forwarder.Server {
+	return forwarder.NewServer(m.Pool, reg, a, r, e.Clock)
 }
 
 // newDumper builds the part that serves operators.
