perf: only the VMs that may replace a primary soon look at the groups

Cause: each of 195 VMs ranked all others ten times a second and looked at 20 groups, though the one at place 150 would act after two minutes. Now the first eight look, a place is worked out anew when other VMs are alive or after half a second, and votes are counted only where a primary does not serve.

--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -24,6 +24,8 @@
 type Fleet interface {
 	// Alive returns the other VMs that were heard a moment ago.
 	Alive(now time.Time) []gossiper.Peer
+	// Generation changes whenever another set of VMs is alive and stays.
+	Generation(now time.Time) uint64
 	// Votes counts the other VMs that the primary of a term of a group does not
 	// serve, and serves.
 	Votes(now time.Time, group string, term uint64) (lost, served int)
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -27,6 +27,11 @@
 	inspectEvery = 5 * time.Second
 	// retryAfter is the pause after a replacement that failed.
 	retryAfter = 400 * time.Millisecond
+	// standbys is the number of VMs that look at the groups; the others would wait
+	// for longer than it takes to notice that these are gone.
+	standbys = 8
+	// rankAge is how long a VM's place counts unless other VMs are alive.
+	rankAge = 500 * time.Millisecond
 	// duty names the duty for the ranking of the VMs.
 	duty = "replace-primaries"
 )
@@ -40,6 +45,7 @@
 	retry      map[string]time.Time
 	begun      map[string]time.Time
 	inspected  time.Time
+	ranked     ranked
 	group      errgroup.Group
 
 	mu    sync.Mutex
@@ -76,9 +82,8 @@
 // look looks at each group once.
 func (s *Switcher) look(ctx context.Context) {
 	now := s.Clock.Now()
-	peers := s.Fleet.Alive(now)
-	rank := s.rank(now, peers)
-	if rank < 0 {
+	rank := s.rank(now)
+	if rank < 0 || rank >= standbys {
 		return
 	}
 	if rank == 0 && now.Sub(s.inspected) >= inspectEvery {
@@ -103,11 +108,24 @@
 }
 
 // rank returns this VM's place among those that may replace primaries, or -1.
-func (s *Switcher) rank(now time.Time, peers []gossiper.Peer) int {
+func (s *Switcher) rank(now time.Time) int {
 	if !s.Fit(now) {
 		return -1
 	}
-	return slices.Index(order(gossiper.Reaching(s.Name, peers), s.Announcer.Record().Holder), s.Name)
+	holder, generation := s.Announcer.Record().Holder, s.Fleet.Generation(now)
+	if r := s.ranked; r.holder != holder || r.generation != generation || now.Sub(r.at) >= rankAge {
+		place := slices.Index(order(gossiper.Reaching(s.Name, s.Fleet.Alive(now)), holder), s.Name)
+		s.ranked = ranked{place: place, holder: holder, generation: generation, at: now}
+	}
+	return s.ranked.place
+}
+
+// ranked is this VM's place as of a time.
+type ranked struct {
+	place      int
+	holder     string
+	generation uint64
+	at         time.Time
 }
 
 // order ranks the VMs that may replace primaries. The one that holds the duty
@@ -131,7 +149,9 @@
 	}
 	v.Leaderless = s.leaderless[group]
 	v.Begun, v.Holds = s.begunSince(now, group, term)
-	v.LostVotes, v.ServedVotes = s.Fleet.Votes(now, group, term)
+	if !v.Unserved.IsZero() {
+		v.LostVotes, v.ServedVotes = s.Fleet.Votes(now, group, term)
+	}
 	return v
 }
 
