--- a/assembler/news.go
+++ b/assembler/news.go
@@ -48,6 +48,9 @@
 	toldReporters time.Time
 	// shared is the fleet among which the rates were divided last.
 	shared fleetSize
+	// logged is the fleet of the last line about it.
+	logged   fleetSize
+	loggedAt time.Time
 }
 
 // compose writes this VM's message.
@@ -151,6 +154,9 @@
 	generation           uint64
 }
 
+// fleetLineEvery is the least time between two lines about the fleet.
+const fleetLineEvery = time.Second
+
 // share divides the rates and connections by what was heard.
 func (n *news) share(now time.Time) {
 	silent, ok := n.gossiper.Expected(now)
@@ -163,7 +169,15 @@
 	n.mu.Lock()
 	same := large && n.shared == size
 	n.shared = size
+	line := large && size != n.logged && now.Sub(n.loggedAt) >= fleetLineEvery
+	if line {
+		n.logged, n.loggedAt = size, now
+	}
 	n.mu.Unlock()
+	if line {
+		n.Journal.Belief("fleet-changed", journaler.F("known", known), journaler.F("alive", alive), journaler.F("expected", silent),
+			journaler.F("speaks", n.gossiper.Speaks(now)))
+	}
 	if same {
 		return
 	}
--- a/gossiper/large_test.go
+++ b/gossiper/large_test.go
@@ -56,6 +56,25 @@
 	})
 }
 
+// A VM knows the version of the configuration that its speakers have, from whom
+// it fetches it.
+func TestVersionsOfSpeakersAreKnown(t *testing.T) {
+	fleet(t, 60, 6, func(g *WithT, _ *hub, vms []*gossiper.Gossiper, _ []*port) {
+		for n, vm := range vms {
+			if vm.Speaks(time.Now()) {
+				continue
+			}
+			versions := 0
+			for _, p := range vm.Alive(time.Now()) {
+				if p.Version > 0 {
+					versions++
+				}
+			}
+			g.Expect(versions).To(BeNumerically(">=", 2), "at VM %d", n)
+		}
+	})
+}
+
 // A VM that dies is noticed by all, in its availability zone and beyond, also
 // if it spoke for it; one that comes back is heard again.
 func TestDeathsInALargeFleet(t *testing.T) {
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -56,7 +56,12 @@
 		}
 	}
 	for _, p := range g.peers {
-		r.note(*p, now.Sub(p.Heard) < silentAfter)
+		direct := now.Sub(p.Heard) < silentAfter
+		r.note(*p, direct)
+		if m := r.known[p.Name]; direct && m.Incarnation <= p.Incarnation {
+			// Its own message tells more than an entry.
+			m.Peer = *p
+		}
 	}
 	r.alive, r.near = nil, nil
 	for _, name := range slices.Sorted(maps.Keys(r.known)) {
