feat: few holders of each group's connections, to which near VMs hand their statements

Now some VMs of each availability zone, ranked by rendezvous hashing, hold a group's connections; an organisation's statements meet at one of them (package delegator, over drpc). A fleet in which there is a connection for each VM holds them itself, as before.

Kept: a unit is tried here only when the holder certainly did not try or what it runs can be run again; a write without an answer is in doubt; a request that was long on its way is refused, dated by the holder's own stamps; a holder that leaves takes nothing new and ends what it has; rates are counted where the caller came in.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -10,6 +10,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/borrower"
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/delegator"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -31,7 +32,10 @@
 	newObserver,
 	sharer.New,
 	newBorrower,
+	newRanking,
+	newDelegator,
 	newDispatcher,
+	newUnits,
 	newSessions,
 	newLeaser,
 	newGossiper,
@@ -96,9 +100,24 @@
 	return borrower.New(p.Settings.VM.ID, p.Settings.VM.AvailabilityZone, s, p.Clock)
 }
 
+// newRanking returns the ranking of the VMs that hold connections.
+func newRanking(p Parts) *delegator.Ranking {
+	return delegator.NewRanking(p.Settings.VM.ID)
+}
+
+// newDelegator returns the part that lets other VMs run units of work.
+func newDelegator(p Parts, r *delegator.Ranking, j *journaler.Journaler) *delegator.Delegator {
+	return delegator.New(p.Settings.VM.ID, r, p.Clock, j, p.Dial)
+}
+
+// newUnits returns the part that runs the units of work of other VMs.
+func newUnits(p Parts, d *dispatcher.Dispatcher) *delegator.Server {
+	return delegator.NewServer(d, p.Clock)
+}
+
 // newDispatcher returns a dispatcher without instances.
-func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, b *borrower.Borrower, j *journaler.Journaler, m *measurer.Measurer) *dispatcher.Dispatcher {
-	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Borrower: b, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
+func newDispatcher(p Parts, o *observer.Observer, s *sharer.Sharer, b *borrower.Borrower, e *delegator.Delegator, j *journaler.Journaler, m *measurer.Measurer) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Parts{Observer: o, Sharer: s, Borrower: b, Elsewhere: e, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
 }
 
 // newSessions returns a server without callers.
@@ -122,6 +141,7 @@
 	g := gossiper.New(p.Transport, p.Clock, p.Settings.VM.ID, p.Settings.VM.AvailabilityZone, news.compose, news.hear)
 	news.gossiper = g
 	n.Borrower.Join(g)
+	n.Ranking.Join(g)
 	g.Handle(borrower.Topic, n.Borrower.Answer, n.Borrower.Hear)
 	return g
 }
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/follower"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -114,8 +115,12 @@
 	}
 	now := p.Parts.Clock.Now()
 	p.Sharer.SetLimits(now, limits)
-	_, alive := p.Gossiper.Count(now)
-	p.Dispatcher.SetShape(c.Groups, alive+1)
+	usable := make(map[string]float64, len(c.Groups))
+	for name, g := range c.Groups {
+		usable[name] = connector.Usable(g.Connections)
+	}
+	p.Ranking.SetConnections(usable)
+	p.Dispatcher.SetShape(c.Groups, func(group string) float64 { return p.Ranking.Share(now, group) })
 }
 
 // followInstances keeps the list of instances up to date.
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/borrower"
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/delegator"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -32,6 +33,7 @@
 	Sessions   *sessioner.Server
 	Journal    *journaler.Journaler
 	Borrower   *borrower.Borrower
+	Ranking    *delegator.Ranking
 	State      *state
 }
 
@@ -188,7 +190,7 @@
 	heard := float64(alive+1) / float64(known+silent+1)
 	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) bool { return n.Borrower.Lends(now, organisation) })
 	if c := n.Catalogue.Current(); c != nil {
-		n.Dispatcher.SetShape(c.Groups, alive+1)
+		n.Dispatcher.SetShape(c.Groups, func(group string) float64 { return n.Ranking.Share(now, group) })
 	}
 }
 
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/delegator"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -39,6 +40,9 @@
 	Observer   *observer.Observer
 	Sharer     *sharer.Sharer
 	Dispatcher *dispatcher.Dispatcher
+	Ranking    *delegator.Ranking
+	Delegator  *delegator.Delegator
+	Units      *delegator.Server
 	Sessions   *sessioner.Server
 	Gossiper   *gossiper.Gossiper
 	Leaser     *leaser.Leaser
@@ -103,6 +107,7 @@
 		return nil
 	})
 	err = group.Wait()
+	p.note("connections-not-closed", s.VM.ID, p.Delegator.Close())
 	p.Dispatcher.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -128,6 +133,7 @@
 			return p.serve(ctx, s.Listen.Ready, p.Parts.Adapter.Ready(p.ready))
 		},
 		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Peers, p.peerHandler()) },
+		p.serveUnits,
 		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Operators, p.operatorHandler()) },
 	}
 }
@@ -135,10 +141,21 @@
 // leave drains the process.
 func (p *Proxy) leave(ctx context.Context) {
 	p.Journal.Belief("leaving", journaler.F("sessions", p.Sessions.Sessions()))
-	p.Sessions.Drain(ctx)
+	p.Units.Leave()
+	p.Gossiper.Hurry()
+	p.Sessions.Drain(ctx, p.Units.Active)
 	p.Journal.Belief("stopped", journaler.F("sessions", p.Sessions.Sessions()))
 }
 
+// serveUnits runs the units of work of other VMs.
+func (p *Proxy) serveUnits(ctx context.Context) error {
+	l, err := p.Parts.Listen(delegator.UnitsAddress(p.Parts.Settings.Listen.Peers))
+	if err != nil {
+		return eris.Wrap(err, "listening for units of work")
+	}
+	return p.Units.Serve(ctx, l)
+}
+
 // ready reports whether the VM takes callers.
 func (p *Proxy) ready() bool {
 	return !p.Sessions.Leaving() && p.Catalogue.Current() != nil && p.State.instances.Load()
--- a/connector/bounds.go
+++ b/connector/bounds.go
@@ -28,11 +28,17 @@
 	idleForCrowded = time.Second
 )
 
-// Divide returns the bounds of each of some VMs at an instance that takes most
-// connections.
-func Divide(most, vms int) Bounds {
-	share := float64(most) * (1 - keptFree) / float64(max(vms, 1))
-	b := Bounds{Share: max(1, int(share)), Most: most, IdleFor: idleFor}
+// Usable returns the number of connections to an instance that takes most that
+// all VMs together may hold.
+func Usable(most int) float64 {
+	return float64(most) * (1 - keptFree)
+}
+
+// NewBounds returns the bounds of a VM whose share of the connections to an
+// instance that takes most is given. A share below one is none to keep: such a
+// VM opens a connection when it needs one.
+func NewBounds(most int, share float64) Bounds {
+	b := Bounds{Share: int(share), Most: most, IdleFor: idleFor}
 	if share < 1 {
 		b.IdleFor = idleForCrowded
 	}
--- /dev/null
+++ b/delegator/ranking_test.go
@@ -0,0 +1,124 @@
+package delegator_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/connector"
+	"github.com/marigoldgauge/marigoldgauge/delegator"
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
+)
+
+// start is the time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is the view of one VM of a fleet.
+type fleet struct {
+	self, vms, zones int
+	gone             map[int]bool
+}
+
+// name names a VM.
+func name(n int) string { return fmt.Sprintf("vm-%d", n) }
+
+func (f *fleet) Near(time.Time) []gossiper.Peer {
+	var out []gossiper.Peer
+	for n := range f.vms {
+		if n != f.self && n%f.zones == f.self%f.zones && !f.gone[n] {
+			out = append(out, gossiper.Peer{Message: gossiper.Message{Name: name(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 256), byte(n)}), 7000)}})
+		}
+	}
+	return out
+}
+
+func (f *fleet) Generation(time.Time) uint64 { return uint64(len(f.gone)) }
+
+func (f *fleet) Size(time.Time) (int, int) { return f.vms - len(f.gone), f.zones }
+
+// rankings returns what each VM of a fleet takes for the holders.
+func rankings(vms, zones, most int, gone map[int]bool) map[int]*delegator.Ranking {
+	out := map[int]*delegator.Ranking{}
+	for n := range vms {
+		if gone[n] {
+			continue
+		}
+		r := delegator.NewRanking(name(n))
+		r.Join(&fleet{self: n, vms: vms, zones: zones, gone: gone})
+		r.SetConnections(map[string]float64{"db": connector.Usable(most)})
+		out[n] = r
+	}
+	return out
+}
+
+// After an outage of all VMs an instance still counts their idle connections.
+// The VMs that come back find room for as many statements as it runs at a time,
+// also where VMs are more than connections.
+func TestSharesLeaveRoomForVMsThatComeBack(t *testing.T) {
+	const slots = 3
+	tests := []struct {
+		name             string
+		most, vms, zones int
+		room             int
+	}{
+		{"campusweg", 21, 8, 3, 2 * slots},
+		{"lepidlo", 46, 9, 3, 2 * slots},
+		{"lepidlo grown", 255, 76, 6, 2 * slots},
+		{"campusweg grown", 74, 71, 6, 2 * slots},
+		{"bond registry grown", 53, 71, 6, 2 * slots},
+		{"large", 180, 195, 6, 2 * slots},
+		{"one VM", 9, 1, 1, slots},
+		{"more VMs than connections", 10, 40, 2, slots},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sum := 0
+			for _, r := range rankings(tt.vms, tt.zones, tt.most, nil) {
+				sum += connector.NewBounds(tt.most, r.Share(start, "db")).Share
+			}
+			g.Expect(sum).To(BeNumerically(">=", 1))
+			g.Expect(tt.most - sum).To(BeNumerically(">=", tt.room))
+		})
+	}
+}
+
+// All VMs of an availability zone name the same holders, one of them each; the
+// others take over at once when one is gone.
+func TestVMsAgreeOnHolders(t *testing.T) {
+	g := NewWithT(t)
+	var first []string
+	for n, r := range rankings(71, 6, 53, nil) {
+		names, all := r.Holders(start, "db")
+		g.Expect(all).To(BeFalse())
+		g.Expect(names).NotTo(BeEmpty())
+		if n%6 == 0 {
+			if first == nil {
+				first = names
+			}
+			g.Expect(names).To(Equal(first))
+		}
+	}
+	var dead int
+	_, err := fmt.Sscanf(first[0], "vm-%d", &dead)
+	g.Expect(err).NotTo(HaveOccurred())
+	for n, r := range rankings(71, 6, 53, map[int]bool{dead: true}) {
+		if n%6 == 0 {
+			names, _ := r.Holders(start, "db")
+			g.Expect(names).NotTo(ContainElement(first[0]))
+			g.Expect(names).NotTo(BeEmpty())
+		}
+	}
+}
+
+// Every VM of a small fleet holds connections itself.
+func TestSmallFleetsHoldThemselves(t *testing.T) {
+	g := NewWithT(t)
+	for _, r := range rankings(9, 3, 21, nil) {
+		_, all := r.Holders(start, "db")
+		g.Expect(all).To(BeTrue())
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,7 +36,7 @@
 	mu     sync.Mutex
 	pools  map[string]*connector.Pool
 	groups map[string]cataloguer.Group
-	vms    int
+	shape  map[string]connector.Bounds
 	rounds map[string]*round
 	// surveyed is when the last round of each group began.
 	surveyed map[string]time.Time
@@ -46,7 +46,7 @@
 
 // New returns a Dispatcher without instances.
 func New(p Parts) *Dispatcher {
-	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, vms: 1, rounds: map[string]*round{}, surveyed: map[string]time.Time{}}
+	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, rounds: map[string]*round{}, surveyed: map[string]time.Time{}}
 }
 
 // SetInstances takes the instances that came and went.
@@ -65,11 +65,16 @@
 	}
 }
 
-// SetShape takes the groups and the number of VMs, from which the bounds of the pools follow.
-func (d *Dispatcher) SetShape(groups map[string]cataloguer.Group, vms int) {
+// SetShape takes the groups and how many connections to each of their instances
+// this VM may hold.
+func (d *Dispatcher) SetShape(groups map[string]cataloguer.Group, share func(group string) float64) {
+	bounds := make(map[string]connector.Bounds, len(groups))
+	for name, g := range groups {
+		bounds[name] = connector.NewBounds(g.Connections, share(name))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.groups, d.vms = groups, max(vms, 1)
+	d.groups, d.shape = groups, bounds
 	for _, name := range d.Observer.Groups() {
 		for _, i := range d.Observer.Instances(name) {
 			if p := d.pools[i.ID]; p != nil {
@@ -81,11 +86,10 @@
 
 // bounds returns how many connections to an instance this VM may hold. The lock is held.
 func (d *Dispatcher) bounds(group string) connector.Bounds {
-	most := d.groups[group].Connections
-	if most == 0 {
-		most = defaultConnections
+	if b, ok := d.shape[group]; ok {
+		return b
 	}
-	return connector.Divide(most, d.vms)
+	return connector.NewBounds(defaultConnections, 1)
 }
 
 // defaultConnections is assumed of a group before its configuration is known.
@@ -135,6 +139,11 @@
 	return phraser.Refuse(r, code.String()+" "+why)
 }
 
+// InDoubt returns an answer that tells that the outcome is unknown.
+func InDoubt(why string) phraser.Answer {
+	return refuse(phraser.InDoubt, coder.OutcomeUnknown, why)
+}
+
 // Run runs a single statement outside a transaction.
 func (d *Dispatcher) Run(ctx context.Context, u Unit) phraser.Answer {
 	u.trace = &trace{}
@@ -143,11 +152,27 @@
 	return a
 }
 
-// run admits and runs a single statement.
+// run admits a single statement and runs it, here or at a VM that holds connections.
 func (d *Dispatcher) run(ctx context.Context, u Unit) phraser.Answer {
 	if a, ok := d.admit(ctx, u); !ok {
 		return a
 	}
+	if d.Elsewhere != nil {
+		if a, ok := d.Elsewhere.Run(ctx, u); ok {
+			return a
+		}
+	}
+	return d.serve(ctx, u)
+}
+
+// Serve runs a single statement that another VM has admitted.
+func (d *Dispatcher) Serve(ctx context.Context, u Unit) phraser.Answer {
+	u.trace = &trace{}
+	return d.serve(ctx, u)
+}
+
+// serve runs a single statement on an instance.
+func (d *Dispatcher) serve(ctx context.Context, u Unit) phraser.Answer {
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
 	return d.repeat(ctx, u, func(i observer.Instance, after tracker.Position) (phraser.Answer, bool) {
--- a/dispatcher/parts.go
+++ b/dispatcher/parts.go
@@ -7,6 +7,7 @@
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
 	"github.com/marigoldgauge/marigoldgauge/sharer"
 )
 
@@ -18,6 +19,8 @@
 	Sharer *sharer.Sharer
 	// Borrower finds tokens that other VMs lend.
 	Borrower Borrower
+	// Elsewhere lets VMs that hold connections run units of work; nil lets none.
+	Elsewhere Elsewhere
 	// Dialer opens connections.
 	Dialer connector.Dialer
 	// Clock tells the present time.
@@ -42,3 +45,11 @@
 	// one, wait tells when to come back.
 	Borrow(ctx context.Context, organisation string, longest time.Duration) (wait time.Duration, ok bool)
 }
+
+// Elsewhere lets other VMs run units of work that were admitted here.
+type Elsewhere interface {
+	// Run runs a single statement; ok is false when it certainly did not run.
+	Run(ctx context.Context, u Unit) (a phraser.Answer, ok bool)
+	// Open begins a transaction; ok is false when this VM should.
+	Open(ctx context.Context, u Unit) (t Transaction, a phraser.Answer, ok bool)
+}
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -17,8 +17,23 @@
 // answered; after that the connection is closed, which rolls back as well.
 const rollbackWithin = 500 * time.Millisecond
 
-// Transaction is a transaction that is pinned to a connection.
-type Transaction struct {
+// Transaction is a transaction that an instance has begun.
+type Transaction interface {
+	// Instance returns the id of the instance that runs the transaction.
+	Instance() string
+	// Run runs a statement in the transaction. After an answer whose state is not
+	// InTransaction the transaction is over and nothing of it is kept.
+	Run(ctx context.Context, u Unit) phraser.Answer
+	// Commit ends the transaction and keeps its changes.
+	Commit(ctx context.Context, u Unit) phraser.Answer
+	// Rollback drops the transaction; its caller has been answered.
+	Rollback(ctx context.Context)
+	// Wrote reports whether a statement of the transaction may have changed data.
+	Wrote() bool
+}
+
+// pinned is a transaction that is pinned to a connection of this VM.
+type pinned struct {
 	d         *Dispatcher
 	unit      Unit
 	at        observer.Instance
@@ -28,44 +43,64 @@
 }
 
 // Open begins a transaction; without one the answer tells why.
-func (d *Dispatcher) Open(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
+func (d *Dispatcher) Open(ctx context.Context, u Unit) (Transaction, phraser.Answer) {
 	u.trace = &trace{}
-	t, a := d.begin(ctx, u)
+	t, a := d.openAnywhere(ctx, u)
 	d.note(u, a)
 	return t, a
 }
 
-// begin admits a transaction and begins it at an instance.
-func (d *Dispatcher) begin(ctx context.Context, u Unit) (*Transaction, phraser.Answer) {
+// openAnywhere admits a transaction and begins it, here or at a VM that holds
+// connections.
+func (d *Dispatcher) openAnywhere(ctx context.Context, u Unit) (Transaction, phraser.Answer) {
 	if a, ok := d.admit(ctx, u); !ok {
 		return nil, a
 	}
+	if d.Elsewhere != nil {
+		if t, a, ok := d.Elsewhere.Open(ctx, u); ok {
+			return t, a
+		}
+	}
+	return d.begin(ctx, u)
+}
+
+// Begin begins a transaction that another VM has admitted.
+func (d *Dispatcher) Begin(ctx context.Context, u Unit) (Transaction, phraser.Answer) {
+	u.trace = &trace{}
+	return d.begin(ctx, u)
+}
+
+// begin begins a transaction at an instance.
+func (d *Dispatcher) begin(ctx context.Context, u Unit) (Transaction, phraser.Answer) {
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
-	var t *Transaction
+	var t *pinned
 	a := d.repeat(ctx, u, func(i observer.Instance, after tracker.Position) (phraser.Answer, bool) {
 		link, a, err := d.open(ctx, u, i, after)
 		if link == nil {
 			return a, false
 		}
 		if err == nil && a.Result == phraser.Done {
-			t = &Transaction{d: d, unit: u, at: i, link: link}
+			t = &pinned{d: d, unit: u, at: i, link: link}
 			return a, true
 		}
 		link.Release(d.Clock.Now(), err == nil && a.State == phraser.Idle)
 		return a, false
 	})
+	if t == nil {
+		return nil, a
+	}
 	return t, a
 }
 
 // Instance returns the id of the instance that runs the transaction.
-func (t *Transaction) Instance() string {
+func (t *pinned) Instance() string {
 	return t.at.ID
 }
 
 // Run runs a statement in the transaction. After an answer whose state is not
 // InTransaction the transaction is over and nothing of it is kept.
-func (t *Transaction) Run(ctx context.Context, u Unit) phraser.Answer {
+func (t *pinned) Run(ctx context.Context, u Unit) phraser.Answer {
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
 	first := t.leadCheck == nil
@@ -93,7 +128,7 @@
 }
 
 // exchange runs a statement, again while the instance has no room for it.
-func (t *Transaction) exchange(ctx context.Context, u Unit) (phraser.Answer, error) {
+func (t *pinned) exchange(ctx context.Context, u Unit) (phraser.Answer, error) {
 	for {
 		if err := t.d.adopt(ctx, u, t.link); err != nil {
 			return phraser.Answer{}, err
@@ -111,7 +146,7 @@
 }
 
 // Commit ends the transaction and keeps its changes.
-func (t *Transaction) Commit(ctx context.Context, u Unit) phraser.Answer {
+func (t *pinned) Commit(ctx context.Context, u Unit) phraser.Answer {
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
 	u.Writes = t.wrote
@@ -131,7 +166,7 @@
 }
 
 // Rollback drops the transaction; its caller has been answered.
-func (t *Transaction) Rollback(ctx context.Context) {
+func (t *pinned) Rollback(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, rollbackWithin)
 	defer cancel()
 	t.d.Observer.Begin(t.at)
@@ -140,13 +175,13 @@
 }
 
 // abandon rolls a transaction back whose answers can't be vouched for.
-func (t *Transaction) abandon(ctx context.Context, u Unit, why string) phraser.Answer {
+func (t *pinned) abandon(ctx context.Context, u Unit, why string) phraser.Answer {
 	t.Rollback(context.WithoutCancel(ctx))
 	return t.aborted(u, why)
 }
 
 // aborted is the answer of a transaction of which nothing is kept.
-func (t *Transaction) aborted(u Unit, why string) phraser.Answer {
+func (t *pinned) aborted(u Unit, why string) phraser.Answer {
 	t.d.Journal.Request("abort", u.Statement.ID, journaler.Code(coder.QueueTimeout), journaler.Instance(t.at.ID),
 		journaler.Group(t.at.Group), journaler.Reason(why), journaler.F("kind", u.Statement.Kind))
 	a := refuse(phraser.Aborted, coder.QueueTimeout, why)
@@ -155,11 +190,11 @@
 }
 
 // end gives the connection back.
-func (t *Transaction) end(reusable bool) {
+func (t *pinned) end(reusable bool) {
 	t.link.Release(t.d.Clock.Now(), reusable)
 }
 
 // Wrote reports whether a statement of the transaction may have changed data.
-func (t *Transaction) Wrote() bool {
+func (t *pinned) Wrote() bool {
 	return t.wrote
 }
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -167,6 +167,19 @@
 	return len(r.known), len(r.alive)
 }
 
+// Size returns the number of VMs that are alive, this one included, and of
+// their availability zones.
+func (g *Gossiper) Size(now time.Time) (vms, zones int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.current(now)
+	seen := map[string]bool{g.zone: true}
+	for _, p := range r.alive {
+		seen[p.AvailabilityZone] = true
+	}
+	return len(r.alive) + 1, len(seen)
+}
+
 // Members returns all VMs that belong to the fleet or were heard of late, also
 // those that are silent.
 func (g *Gossiper) Members(now time.Time) []Peer {
--- a/sessioner/runner.go
+++ b/sessioner/runner.go
@@ -12,5 +12,5 @@
 	// Run runs a single statement outside a transaction.
 	Run(ctx context.Context, u dispatcher.Unit) phraser.Answer
 	// Open begins a transaction; without one the answer tells why.
-	Open(ctx context.Context, u dispatcher.Unit) (*dispatcher.Transaction, phraser.Answer)
+	Open(ctx context.Context, u dispatcher.Unit) (dispatcher.Transaction, phraser.Answer)
 }
--- a/sessioner/server.go
+++ b/sessioner/server.go
@@ -96,8 +96,9 @@
 	return *t, true
 }
 
-// Drain lets callers finish and returns when all have left, or the grace is nearly over.
-func (s *Server) Drain(ctx context.Context) {
+// Drain lets callers finish, and what others have under way here, and returns
+// when all have left, or the grace is nearly over.
+func (s *Server) Drain(ctx context.Context, others func() int64) {
 	began := time.Now()
 	grace := s.grace.Load()
 	part := func(p float64) time.Time { return began.Add(time.Duration(p * float64(grace))) }
@@ -107,7 +108,7 @@
 	s.interrupt()
 	sleepUntil(ctx, part(closeAfter))
 	s.close.Store(true)
-	for time.Now().Before(part(lastPart)) && s.Sessions() > 0 && ctx.Err() == nil {
+	for time.Now().Before(part(lastPart)) && int64(s.Sessions())+others() > 0 && ctx.Err() == nil {
 		s.interrupt()
 		sleepUntil(ctx, time.Now().Add(drainStep))
 	}
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -49,7 +49,7 @@
 
 	// pending is the transaction that the caller has begun and no instance has.
 	pending *pendingTransaction
-	running *dispatcher.Transaction
+	running dispatcher.Transaction
 	broken  bool
 	// ending reports that the caller has rolled back and the instance has not.
 	ending bool
