perf: VMs that start take what the store holds from their speakers

Now VMs that do not speak for their availability zone wait up to 1.5 s for those that do.

Also: the VM that asks for the record on behalf of its availability zone asks twice as often.

--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -67,10 +67,10 @@
 			}
 		}
 		holds := !p.State.watches.Load()
-		if version.Version > 0 && (holds || version.Version == behind.Version) {
+		if version.Version > 0 && (holds || own == 0 || version.Version == behind.Version) {
 			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
 		}
-		if list.Listing > 0 && (holds || list.Listing == behind.Listing) {
+		if list.Listing > 0 && (holds || p.State.listing.Load() == 0 || list.Listing == behind.Listing) {
 			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
 		}
 		behind.Version, behind.Listing = version.Version, list.Listing
--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -64,6 +64,7 @@
 	// The low bits tell processes apart that start in the same millisecond.
 	s := &state{
 		incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10),
+		started:     p.Clock.Now(),
 		roll:        observer.NewRoll(),
 		peers:       &http.Client{Transport: &http.Transport{DialContext: p.Dial}},
 	}
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -25,6 +25,9 @@
 	watchFor = 4 * time.Second
 	// watchForLarge is that time in a large fleet, where many VMs watch.
 	watchForLarge = 8 * time.Second
+	// beginAlone is how long a process that has just started waits for other VMs to
+	// tell it what the store holds: they answer within a few hundred milliseconds.
+	beginAlone = 1500 * time.Millisecond
 	// catchUpAfter is how long a later configuration that another VM told of is
 	// waited for from the store, before it is fetched from that VM.
 	catchUpAfter = 300 * time.Millisecond
@@ -43,11 +46,28 @@
 )
 
 // follow follows a prefix of the store.
-func (p *Proxy) follow(ctx context.Context, prefix string, apply func(revision uint64, objects map[string]keeper.Object)) error {
-	f := follower.Follower{Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached, Most: p.mostPause, Hold: p.hold}
+func (p *Proxy) follow(ctx context.Context, prefix string, known func() bool, apply func(revision uint64, objects map[string]keeper.Object)) error {
+	f := follower.Follower{
+		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchFor, Clock: p.Parts.Clock, Apply: apply, Reached: p.reached,
+		Most: p.mostPause, Hold: p.hold, Begin: p.begin, Known: known,
+	}
 	return f.Run(ctx)
 }
 
+// begin reports whether a process that has just started asks the store: in a
+// large fleet those that speak for their availability zone do, and the others
+// take from them what they know.
+func (p *Proxy) begin(now time.Time) bool {
+	switch {
+	case now.Sub(p.State.started) >= beginAlone:
+		return true
+	case !p.Gossiper.Seeded(now, relistEvery):
+		return false
+	default:
+		return p.Gossiper.Speaks(now)
+	}
+}
+
 // watchFor returns how long one watch waits.
 func (p *Proxy) watchFor() time.Duration {
 	if p.Gossiper.IsLarge() {
@@ -79,7 +99,8 @@
 func (p *Proxy) followCatalogue(ctx context.Context) error {
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:strings.LastIndexByte(key, '/')+1]
-	return p.follow(ctx, prefix, func(_ uint64, objects map[string]keeper.Object) {
+	known := func() bool { return p.Catalogue.Current() != nil }
+	return p.follow(ctx, prefix, known, func(_ uint64, objects map[string]keeper.Object) {
 		if o, ok := objects[key]; ok {
 			p.takeCatalogue(o.Value, "store")
 		}
@@ -125,7 +146,8 @@
 
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
-	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), func(revision uint64, objects map[string]keeper.Object) {
+	known := func() bool { return p.State.listing.Load() > 0 }
+	return p.follow(ctx, p.Parts.Adapter.InstancesPrefix(), known, func(revision uint64, objects map[string]keeper.Object) {
 		p.takeListing(&listing{Revision: revision, Objects: slices.Collect(maps.Values(objects))})
 	})
 }
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -54,6 +54,7 @@
 // state is what the parts of a process tell each other.
 type state struct {
 	incarnation uint64
+	started     time.Time
 	instances   atomic.Bool
 	storeLost   atomic.Bool
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -18,6 +18,8 @@
 	retryMost  = 600 * time.Millisecond
 	// gather is the pause after a change.
 	gather = 150 * time.Millisecond
+	// beginStep is how often it is looked whether to make the first call.
+	beginStep = 50 * time.Millisecond
 	// holdStep is how often it is looked whether the store is still left alone.
 	holdStep = 500 * time.Millisecond
 )
@@ -41,6 +43,10 @@
 	Most func(now time.Time) time.Duration
 	// Hold reports whether to leave the store alone for now; nil never does.
 	Hold func(now time.Time) bool
+	// Begin reports whether to make the first call; nil always does. Known reports
+	// that what is followed is known from elsewhere, so that none may be needed.
+	Begin func(now time.Time) bool
+	Known func() bool
 	// Reached is told of each call whether the store answered.
 	Reached func(now time.Time, err error)
 
@@ -53,13 +59,19 @@
 func (f *Follower) Run(ctx context.Context) error {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		if f.objects != nil && f.Hold != nil && f.Hold(f.Clock.Now()) {
+		if f.holds() {
 			f.held = true
 			if !clocker.Sleep(ctx, holdStep) {
 				return nil
 			}
 			continue
 		}
+		if f.objects == nil && !f.held && f.Begin != nil && !f.Begin(f.Clock.Now()) {
+			if !clocker.Sleep(ctx, beginStep) {
+				return nil
+			}
+			continue
+		}
 		most := f.most()
 		if f.held {
 			if most > retryMost && !clocker.Sleep(ctx, rand.N(most)) {
@@ -91,6 +103,12 @@
 	return nil
 }
 
+// holds reports whether to leave the store alone.
+func (f *Follower) holds() bool {
+	known := f.objects != nil || (f.Known != nil && f.Known())
+	return known && f.Hold != nil && f.Hold(f.Clock.Now())
+}
+
 // most returns the longest pause between two calls for now.
 func (f *Follower) most() time.Duration {
 	if f.Most == nil {
--- a/voucher/voucher.go
+++ b/voucher/voucher.go
@@ -70,9 +70,9 @@
 
 // Run keeps the knowledge fresh until ctx ends.
 func (v *Voucher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(interval / 2)
 	defer ticker.Stop()
-	for {
+	for n := 0; ; n++ {
 		// The others are heard within the first interval; until then each would
 		// take itself for the first.
 		select {
@@ -80,7 +80,23 @@
 		case <-ctx.Done():
 			return nil
 		}
-		v.step(ctx, v.Clock.Now())
+		switch now := v.Clock.Now(); {
+		case n%2 == 1:
+			v.step(ctx, now)
+		case n > 0:
+			v.relay(now)
+		}
+	}
+}
+
+// relay asks the VM that reads the record between two steps, on behalf of the
+// availability zone: its VMs ask this one, and what they hear is older by a step.
+func (v *Voucher) relay(now time.Time) {
+	if _, self := v.first(v.Fleet.Near(now)); !self {
+		return
+	}
+	if source, self := v.first(v.Fleet.Alive(now)); !self {
+		v.ask(now, source, nil)
 	}
 }
 
