fix: a holder that is slow is waited for, one that does not answer a ping is not

Cause: what reads was given up after half of its target, which is shorter than slow statements take; the statement was then started again here while it ran there, and the holder passed over for two seconds.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -41,9 +42,9 @@
 	// avoidFor is how long a holder that did not answer is passed over: until it
 	// is known to be silent.
 	avoidFor = 2 * time.Second
-	// answerShare is the part of a route's target in which a holder must answer
-	// what can be run again elsewhere.
-	answerShare = 2
+	// pingAfter is the wait for an answer after which a holder is pinged: longer
+	// than most statements take.
+	pingAfter = 250 * time.Millisecond
 	// cancelAfter is the wait before the context of a stream that ended well is
 	// freed: a cancel closes its connection, which may be in use again.
 	cancelAfter = time.Second
@@ -63,6 +64,9 @@
 	pool    *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
 	stamps  *dater.Book[netip.AddrPort]
 
+	// background are the pings of holders that keep this VM waiting.
+	background errgroup.Group
+
 	mu      sync.Mutex
 	avoided map[string]time.Time
 }
@@ -75,8 +79,9 @@
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections and waits for the pings under way.
 func (d *Delegator) Close() error {
+	_ = d.background.Wait()
 	return eris.Wrap(d.pool.Close(), "closing the connections to holders")
 }
 
@@ -222,24 +227,46 @@
 }
 
 // first sends the first request of a unit and ends the stream unless a
-// transaction is open then. What can be run again must be answered soon.
+// transaction is open then.
 func (s *stream) first(v verb, u dispatcher.Unit) (r reply, sent bool, err error) {
 	now := s.d.clock.Now()
 	took := now.Sub(u.Began)
-	within := u.Route.Timeout
-	if !u.Writes || v == open {
-		within = u.Route.Target / answerShare
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(within-took, 0))
+	ctx, cancel := context.WithTimeout(context.Background(), max(u.Route.Timeout-took, 0))
 	defer cancel()
+	again := !u.Writes || v == open
 	present, _ := s.d.stamps.Present(now, s.at)
-	r, err = s.exchange(ctx, request{Verb: v, Unit: pack(u, took), Sent: present})
+	r, err = s.watched(ctx, again, request{Verb: v, Unit: pack(u, took), Sent: present})
 	if err != nil || !r.Open {
 		s.end(err == nil)
 	}
 	return r, true, err
 }
 
+// watched sends a request and pings the holder while it keeps this VM waiting.
+// What can be run again is given up once it does not answer.
+func (s *stream) watched(ctx context.Context, again bool, q request) (reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	s.d.background.Go(func() error {
+		ticker := time.NewTicker(pingAfter)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+			case <-done:
+				return nil
+			}
+			if err := s.d.ping(ctx, s.at); err != nil && again && ctx.Err() == nil {
+				cancel()
+				return nil
+			}
+		}
+	})
+	return s.exchange(ctx, q)
+}
+
 // errAbandoned means that a holder did not answer in time.
 var errAbandoned = eris.New("the holder did not answer in time")
 
--- a/delegator/transaction.go
+++ b/delegator/transaction.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(ctx, u.Route.Timeout)
 	defer cancel()
 	present, _ := t.stream.d.stamps.Present(t.stream.d.clock.Now(), t.stream.at)
-	return t.stream.exchange(ctx, request{Verb: v, Unit: pack(u, 0), Sent: present})
+	return t.stream.watched(ctx, v == proceed, request{Verb: v, Unit: pack(u, 0), Sent: present})
 }
 
 // note records why a transaction ended.
