fix: a process that starts takes what the store holds from VMs that reach it only

Found while looking for what went wrong elsewhere: a restarted VM could take an older configuration from a speaker that is cut off from the store than it had itself before.

--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -57,12 +57,13 @@
 		alive := slices.Clone(p.Gossiper.Alive(p.Parts.Clock.Now()))
 		// Any of those that know it will do, so that not all ask the same.
 		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+		listed := p.State.listing.Load()
 		var version, list gossiper.Peer
 		for _, peer := range alive {
-			if peer.Version > max(own, version.Version) {
+			if peer.Version > max(own, version.Version) && p.trusts(peer, own > 0) {
 				version = peer
 			}
-			if peer.Listing > max(p.State.listing.Load(), list.Listing) {
+			if peer.Listing > max(listed, list.Listing) && p.trusts(peer, listed > 0) {
 				list = peer
 			}
 		}
@@ -70,13 +71,20 @@
 		if version.Version > 0 && (holds || own == 0 || version.Version == behind.Version) {
 			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
 		}
-		if list.Listing > 0 && (holds || p.State.listing.Load() == 0 || list.Listing == behind.Listing) {
+		if list.Listing > 0 && (holds || listed == 0 || list.Listing == behind.Listing) {
 			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
 		}
 		behind.Version, behind.Listing = version.Version, list.Listing
 	}
 }
 
+// trusts reports whether to take what another VM knows. A process that has just
+// started may have known later things before: it takes only what comes from a
+// store that answered a moment ago, unless it cannot reach the store itself.
+func (p *Proxy) trusts(peer gossiper.Peer, knows bool) bool {
+	return knows || peer.Fresh || p.State.storeLost.Load()
+}
+
 // note records an error of a source of knowledge, if there is one.
 func (p *Proxy) note(decision, vm string, err error) {
 	if err != nil {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -39,6 +39,8 @@
 	done chan struct{}
 	once sync.Once
 	cut  bool
+	// last is the last message that came.
+	last []byte
 }
 
 func (p *port) Send(to netip.AddrPort, b []byte) error {
@@ -53,6 +55,9 @@
 	}
 	select {
 	case o.in <- datagram{from: p.at, body: append([]byte(nil), b...)}:
+		p.h.mu.Lock()
+		o.last = append([]byte(nil), b...)
+		p.h.mu.Unlock()
 	default: // The queue is full; datagrams get lost.
 	}
 	return nil
@@ -79,6 +84,13 @@
 	return h.sent, h.bytes
 }
 
+// last returns the last message that came to a VM.
+func (h *hub) last(at netip.AddrPort) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ports[at].last
+}
+
 // cut cuts some VMs off, or lets them back.
 func (h *hub) cut(ports []*port, which []int, cut bool) {
 	h.mu.Lock()
--- a/gossiper/large_test.go
+++ b/gossiper/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -144,3 +145,33 @@
 		g.Expect(f.tooYoung).To(BeZero())
 	})
 }
+
+// Datagrams that are not understood are passed over, whatever they hold.
+func TestGarbledMessages(t *testing.T) {
+	fleet(t, 20, 2, func(g *WithT, h *hub, vms []*gossiper.Gossiper, ports []*port) {
+		random := rand.New(rand.NewPCG(1, 2))
+		heard := h.last(ports[0].at)
+		for n := range 4000 {
+			b := make([]byte, random.IntN(40))
+			for i := range b {
+				b[i] = byte(random.Uint32())
+			}
+			if n%2 == 0 {
+				// A message that was well formed, with some bytes changed.
+				b = append([]byte(nil), heard...)
+				for range 1 + random.IntN(3) {
+					b[random.IntN(len(b))] = byte(random.Uint32())
+				}
+			}
+			if len(b) > 0 && n%3 == 0 {
+				b[0] = byte(n % 8)
+			}
+			g.Expect(ports[1].Send(ports[0].at, b)).To(Succeed())
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		for _, vm := range vms {
+			g.Expect(len(vm.Alive(time.Now()))).To(BeNumerically(">=", 19))
+		}
+	})
+}
