--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -90,11 +90,17 @@
 	return d
 }
 
+// metricsPath is where the metrics are.
+const metricsPath = "GET /metrics"
+
+// writeMetrics answers with the metrics.
+func (p *Proxy) writeMetrics(w http.ResponseWriter, _ *http.Request) { p.Measurer.Write(w) }
+
 // operatorHandler answers operators.
 func (p *Proxy) operatorHandler() http.Handler {
 	p.Measurer.Collect(p.samples)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.Measurer.Write(w) })
+	mux.HandleFunc(metricsPath, p.writeMetrics)
 	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An operator who has gone away asks again.
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -135,6 +135,7 @@
 		},
 		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Peers, p.peerHandler()) },
 		p.serveUnits,
+		p.serveMetrics,
 		func(ctx context.Context) error { return p.serve(ctx, s.Listen.Operators, p.operatorHandler()) },
 	}
 }
@@ -157,6 +158,19 @@
 	return p.Units.Serve(ctx, l)
 }
 
+// serveMetrics serves the metrics at their own address, if there is one. Callers
+// are served whether it can be had or not.
+func (p *Proxy) serveMetrics(ctx context.Context) error {
+	at := p.Parts.Settings.Listen.Metrics
+	if !at.IsValid() {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(metricsPath, p.writeMetrics)
+	p.note("metrics-not-served", p.Parts.Settings.VM.ID, p.serve(ctx, at, mux))
+	return nil
+}
+
 // ready reports whether the VM takes callers.
 func (p *Proxy) ready() bool {
 	return !p.Sessions.Leaving() && p.Catalogue.Current() != nil && p.State.instances.Load()
--- a/loader/hosted.go
+++ b/loader/hosted.go
@@ -55,6 +55,9 @@
 	Peers netip.AddrPort `yaml:"peers"`
 	// Operators is the address for state dumps and metrics.
 	Operators netip.AddrPort `yaml:"operators"`
+	// Metrics is a further address for metrics alone, for a collector that asks
+	// all VMs at one port; none is served where it is missing.
+	Metrics netip.AddrPort `yaml:"metrics"`
 }
 
 // HostedPlatform tells where the services of a platform are.
