--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -98,7 +98,7 @@
 
 // newBorrower returns the borrower of this VM.
 func newBorrower(p Parts, s *sharer.Sharer) *borrower.Borrower {
-	return borrower.New(p.Settings.VM.ID, p.Settings.VM.AvailabilityZone, s, p.Clock)
+	return borrower.New(p.Settings.VM.ID, p.Settings.VM.AvailabilityZone, func(zone string) string { return p.Settings.Regions[zone] }, s, p.Clock)
 }
 
 // newRanking returns the ranking of the VMs that hold connections.
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -188,7 +188,7 @@
 		peers = n.demands(now)
 	}
 	heard := float64(alive+1) / float64(known+silent+1)
-	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) bool { return n.Borrower.Lends(now, organisation) })
+	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) float64 { return n.Borrower.Lends(now, organisation) })
 	if c := n.Catalogue.Current(); c != nil {
 		n.Dispatcher.SetShape(c.Groups, func(group string) float64 { return n.Ranking.Share(now, group) })
 	}
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -58,6 +59,7 @@
 type Borrower struct {
 	name   string
 	zone   string
+	region func(availabilityZone string) string
 	sharer *sharer.Sharer
 	clock  clocker.Clock
 	fleet  Fleet
@@ -70,9 +72,10 @@
 	ranked     map[string][]lender
 }
 
-// New returns a Borrower of the VM name in an availability zone.
-func New(name, zone string, s *sharer.Sharer, c clocker.Clock) *Borrower {
-	return &Borrower{name: name, zone: zone, sharer: s, clock: c, pending: map[uint64]chan answer{}, ranked: map[string][]lender{}}
+// New returns a Borrower of the VM name in an availability zone; region returns
+// the region of one.
+func New(name, zone string, region func(availabilityZone string) string, s *sharer.Sharer, c clocker.Clock) *Borrower {
+	return &Borrower{name: name, zone: zone, region: region, sharer: s, clock: c, pending: map[uint64]chan answer{}, ranked: map[string][]lender{}}
 }
 
 // Join gives the Borrower its fleet. It is called before any other method.
@@ -86,9 +89,13 @@
 	self    bool
 }
 
-// Lends reports whether this VM lends tokens of an organisation.
-func (b *Borrower) Lends(now time.Time, organisation string) bool {
-	return slices.ContainsFunc(b.lenders(now, organisation), func(l lender) bool { return l.self })
+// Lends returns the part that this VM lends of what is lent of a rate, 0 for none.
+func (b *Borrower) Lends(now time.Time, organisation string) float64 {
+	lenders := b.lenders(now, organisation)
+	if !slices.ContainsFunc(lenders, func(l lender) bool { return l.self }) {
+		return 0
+	}
+	return 1 / float64(len(lenders))
 }
 
 // lenders returns the VMs that lend the tokens of an organisation, the nearest first.
@@ -109,23 +116,42 @@
 
 // rank chooses the lenders of an organisation. The lock is held.
 func (b *Borrower) rank(organisation string, alive []gossiper.Peer) []lender {
-	names := placer.Rank(organisation, gossiper.Staying(b.name, alive))
-	names = names[:min(len(names), sharer.Lenders(b.fleet.IsLarge()))]
+	self := gossiper.Peer{Message: gossiper.Message{Name: b.name, AvailabilityZone: b.zone}}
+	regions := map[string][]gossiper.Peer{}
+	for _, p := range append([]gossiper.Peer{self}, alive...) {
+		region := ""
+		if b.fleet.IsLarge() {
+			region = b.region(p.AvailabilityZone)
+		}
+		regions[region] = append(regions[region], p)
+	}
 	var near, far []lender
-	for _, name := range names {
-		n := slices.IndexFunc(alive, func(p gossiper.Peer) bool { return p.Name == name })
-		switch {
-		case n < 0:
-			near = slices.Insert(near, 0, lender{self: true})
-		case alive[n].AvailabilityZone == b.zone:
-			near = append(near, lender{address: alive[n].Address})
-		default:
-			far = append(far, lender{address: alive[n].Address})
+	for _, region := range slices.Sorted(maps.Keys(regions)) {
+		l := b.first(organisation, regions[region])
+		if region == b.region(b.zone) {
+			near = append(near, l)
+		} else {
+			far = append(far, l)
 		}
 	}
 	return append(near, far...)
 }
 
+// first returns the lender among the VMs of a region; if all leave, one of them lends on.
+func (b *Borrower) first(organisation string, vms []gossiper.Peer) lender {
+	staying := slices.DeleteFunc(slices.Clone(vms), func(p gossiper.Peer) bool { return p.Leaving })
+	if len(staying) == 0 {
+		staying = vms
+	}
+	names := make([]string, 0, len(staying))
+	for _, p := range staying {
+		names = append(names, p.Name)
+	}
+	first := placer.First(organisation, names)
+	n := slices.IndexFunc(staying, func(p gossiper.Peer) bool { return p.Name == first })
+	return lender{address: staying[n].Address, self: first == b.name}
+}
+
 // Borrow takes a token for one operation, which must wait for it. Without one,
 // wait tells when to come back.
 //
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -30,12 +30,18 @@
 	group    errgroup.Group
 }
 
+// zone puts VM 2 into the region of VM 0.
+func (v *vm) zone() string { return fmt.Sprintf("z-%d", v.n%2) }
+
+// regionOf returns the region of an availability zone, one each.
+func regionOf(zone string) string { return "r" + zone }
+
 func (v *vm) name() string { return fmt.Sprintf("vm-%d", v.n) }
 
 func (v *vm) Alive(time.Time) []gossiper.Peer {
 	var out []gossiper.Peer
 	for _, o := range v.others {
-		out = append(out, gossiper.Peer{Message: gossiper.Message{Name: o.name(), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(o.n))}})
+		out = append(out, gossiper.Peer{Message: gossiper.Message{Name: o.name(), AvailabilityZone: o.zone(), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(o.n))}})
 	}
 	return out
 }
@@ -67,7 +73,7 @@
 	var vms []*vm
 	for n := range 3 {
 		v := &vm{n: n, large: large, sharer: sharer.New()}
-		v.borrower = borrower.New(v.name(), "z", v.sharer, clocker.Func(time.Now))
+		v.borrower = borrower.New(v.name(), v.zone(), regionOf, v.sharer, clocker.Func(time.Now))
 		v.borrower.Join(v)
 		vms = append(vms, v)
 	}
@@ -81,7 +87,7 @@
 	for _, v := range vms {
 		now := time.Now()
 		v.sharer.SetLimits(now, map[string]limiter.Limit{organisation: {Rate: 100, Burst: 10}})
-		v.sharer.SetPeers(now, []sharer.Peer{{}, {}}, 0, 1, large, func(o string) bool { return v.borrower.Lends(now, o) })
+		v.sharer.SetPeers(now, []sharer.Peer{{}, {}}, 0, 1, large, func(o string) float64 { return v.borrower.Lends(now, o) })
 	}
 	return vms
 }
@@ -93,7 +99,7 @@
 		time.Sleep(time.Second)
 		lenders := 0
 		for _, v := range vms {
-			if v.borrower.Lends(time.Now(), organisation) {
+			if v.borrower.Lends(time.Now(), organisation) > 0 {
 				lenders++
 			}
 			_, ok := v.borrower.Borrow(t.Context(), organisation, 0)
@@ -104,9 +110,9 @@
 	})
 }
 
-// In a large fleet two VMs lend a half each: the whole rate can be used, never
+// In a large fleet a VM of each of the two regions lends a half: the whole rate can be used, never
 // more than it, and half of it while one of them does not answer.
-func TestTwoVMsLendInALargeFleet(t *testing.T) {
+func TestAVMOfEachRegionLendsInALargeFleet(t *testing.T) {
 	tests := []struct {
 		name   string
 		silent bool
@@ -120,7 +126,7 @@
 				var asker *vm
 				lenders := 0
 				for _, v := range vms {
-					if !v.borrower.Lends(time.Now(), organisation) {
+					if v.borrower.Lends(time.Now(), organisation) == 0 {
 						asker = v
 						continue
 					}
@@ -151,7 +157,7 @@
 		vms := newFleet()
 		time.Sleep(time.Second)
 		for _, v := range vms {
-			v.silent = v.borrower.Lends(time.Now(), organisation)
+			v.silent = v.borrower.Lends(time.Now(), organisation) > 0
 		}
 		for _, v := range vms {
 			if v.silent {
@@ -167,7 +173,7 @@
 
 func TestGarbledDatagrams(t *testing.T) {
 	g := NewWithT(t)
-	b := borrower.New("vm", "z", sharer.New(), clocker.Func(time.Now))
+	b := borrower.New("vm", "z", regionOf, sharer.New(), clocker.Func(time.Now))
 	g.Expect(b.Answer(time.Now(), []byte{0xff})).To(BeNil())
 	b.Hear(time.Now(), []byte("garbage"))
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -25,10 +25,6 @@
 	// lentPart is the part of a rate that is lent: small enough that the split
 	// part serves alone while the lender is silent.
 	lentPart = 0.6
-	// lendersLarge is the number of VMs that lend a rate in a large fleet, each an
-	// equal part of the whole: an even split of a small rate among hundreds of VMs
-	// serves nobody.
-	lendersLarge = 2
 	// evenPart is the part of a rate that is shared evenly whatever the demand,
 	// so that the first requests at another VM need not wait for news.
 	evenPart = 0.15
@@ -46,7 +42,7 @@
 	told     map[string]float64
 	peers    []Peer
 	silent   int
-	lends    func(organisation string) bool
+	lends    func(organisation string) float64
 	heard    float64
 	large    bool
 }
@@ -91,9 +87,12 @@
 
 // SetPeers takes what the other VMs tell, and divides the rates anew. An even
 // share is left to each of the silent VMs, which may be spending it. The part of
-// them all that was heard a moment ago bounds what this VM lends of the rates
-// for which lends is true.
-func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int, heard float64, large bool, lends func(organisation string) bool) {
+// them all that was heard a moment ago bounds what this VM lends. lends returns
+// its part of what is lent of a rate: 0 unless it is a lender.
+//
+// In a large fleet a rate is lent whole: an even split of a small rate among
+// hundreds of VMs serves nobody.
+func (s *Sharer) SetPeers(now time.Time, peers []Peer, silent int, heard float64, large bool, lends func(organisation string) float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers, s.silent, s.heard, s.large, s.lends = peers, silent, heard, large, lends
@@ -131,14 +130,6 @@
 	}
 }
 
-// Lenders returns the number of VMs that lend a rate.
-func Lenders(large bool) int {
-	if large {
-		return lendersLarge
-	}
-	return 1
-}
-
 // lent returns the part of the rates that is lent. The lock is held.
 func (s *Sharer) lent() float64 {
 	if s.large {
@@ -149,11 +140,15 @@
 
 // setLent works out what this VM lends of one rate. The lock is held.
 func (s *Sharer) setLent(now time.Time, name string, a *account) {
-	if s.lends == nil || !s.lends(name) {
+	part := 0.0
+	if s.lends != nil {
+		part = s.lends(name)
+	}
+	if part <= 0 {
 		a.lent = nil
 		return
 	}
-	limit := a.whole.Scale(s.lent() * s.heard / float64(Lenders(s.large)))
+	limit := a.whole.Scale(s.lent() * s.heard * part)
 	limit.Burst = max(limit.Burst, 1)
 	if a.lent == nil {
 		// The lender before may have lent its whole burst just now.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -87,7 +87,12 @@
 			}
 		}
 		heard := float64(len(peers)+1) / float64(len(f.vms))
-		vm.SetPeers(f.now, peers, silent, heard, f.large, func(string) bool { return i == f.lender(i) })
+		vm.SetPeers(f.now, peers, silent, heard, f.large, func(string) float64 {
+			if i == f.lender(i) {
+				return 1
+			}
+			return 0
+		})
 	}
 }
 
