fix: a holder opens as many connections at a time as its share

Cause: at most two dials at a time per instance, which was enough when each VM dialled for itself; a holder dials for an availability zone.

--- a/connector/dialling.go
+++ b/connector/dialling.go
@@ -47,13 +47,10 @@
 		p.pumpLater(wait)
 		return false
 	}
-	if len(p.pending) >= dialsAtOnce {
-		return false
-	}
 	if p.open < p.bounds.Share {
-		return true
+		return len(p.pending) < max(dialsAtOnce, p.bounds.Share)
 	}
-	return len(p.pending) == 0 && (p.open < p.bounds.Most || len(p.idle) > 0)
+	return len(p.pending) < max(1, p.bounds.Share/beyondShare) && (p.open < p.bounds.Most || len(p.idle) > 0)
 }
 
 // pumpLater looks at the line again after a time. The lock is held.
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -24,8 +24,12 @@
 	// doubles up to fullMost.
 	fullFirst = 40 * time.Millisecond
 	fullMost  = 320 * time.Millisecond
-	// dialsAtOnce is the number of connections that are opened at a time.
+	// dialsAtOnce is the least number of connections that are opened at a time; a
+	// holder with a larger share opens as many as that, since it dials for the VMs
+	// of an availability zone.
 	dialsAtOnce = 2
+	// beyondShare is the part of the share that may be opened at a time beyond it.
+	beyondShare = 2
 	// dialWithin bounds the opening of a connection, whoever still waits for it.
 	dialWithin = time.Second
 	// overtakenFor is how long the first in line lets others of the organisation
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -226,3 +226,29 @@
 		})
 	}
 }
+
+// A holder opens connections for the VMs of an availability zone: callers of as
+// many organisations as its share do not wait for each other's dials.
+func TestHolderOpensItsShareAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 20}
+		p := newPool(i, 8)
+		defer p.Wait()
+		defer p.Close()
+		began := time.Now()
+		var group errgroup.Group
+		for n := range 8 {
+			group.Go(func() error {
+				l, err := p.Acquire(t.Context(), string(rune('a'+n)), 1, time.Second)
+				if err == nil {
+					defer l.Release(time.Now(), true)
+					time.Sleep(time.Millisecond)
+				}
+				return err
+			})
+		}
+		g.Expect(group.Wait()).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<=", handshake+2*time.Millisecond))
+	})
+}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -117,6 +117,13 @@
 	f.heard[n] = true
 }
 
+// dates returns how many messages were dated, were not, and seemed too young.
+func (f *spreading) dates() (dated, undated, tooYoung int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dated, f.undated, f.tooYoung
+}
+
 // count returns the number of VMs that know of the news.
 func (f *spreading) count() int {
 	f.mu.Lock()
