--- a/assembler/following.go
+++ b/assembler/following.go
@@ -162,11 +162,10 @@
 
 // takeListing takes the list of instances, unless a later one is known.
 func (p *Proxy) takeListing(l *listing) {
-	if l.Revision < p.State.listing.Load() {
+	if l.Revision < p.State.seen.Load() {
 		return
 	}
-	p.State.listing.Store(l.Revision)
-	p.State.objects.Store(l)
+	p.State.seen.Store(l.Revision)
 	list := make([]observer.Instance, 0, len(l.Objects))
 	for _, o := range l.Objects {
 		i, err := p.Parts.Adapter.Instance(o)
@@ -176,9 +175,14 @@
 		}
 		list = append(list, i)
 	}
-	p.State.roll.List(p.Parts.Clock.Now(), list)
+	changed := p.State.roll.List(p.Parts.Clock.Now(), list)
 	p.takeInstances()
-	p.spread()
+	if changed || p.State.objects.Load() == nil {
+		// Other VMs fetch the list again only when it tells something new.
+		p.State.listing.Store(l.Revision)
+		p.State.objects.Store(l)
+		p.spread()
+	}
 }
 
 const (
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -60,8 +60,10 @@
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
 	storeRegained atomic.Int64
 	roll          *observer.Roll
-	// listing is the store's revision of the list of instances; watches reports
-	// that this VM watches the store itself.
+	// seen is the store's revision of the list of instances, and listing that of
+	// its last change that matters; watches reports that this VM watches the store
+	// itself.
+	seen    atomic.Uint64
 	listing atomic.Uint64
 	watches atomic.Bool
 	objects atomic.Pointer[listing]
--- a/observer/roll.go
+++ b/observer/roll.go
@@ -28,20 +28,32 @@
 	return &Roll{entries: map[string]*rollEntry{}}
 }
 
-// List takes the platform's list as it stands now.
-func (r *Roll) List(now time.Time, list []Instance) {
+// List takes the platform's list as it stands now, and reports whether it tells
+// more than that instances go on warming up.
+func (r *Roll) List(now time.Time, list []Instance) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := map[string]bool{}
 	for _, i := range list {
 		listed[i.ID] = true
+		have := r.entries[i.ID]
+		changed = changed || have == nil || !have.vanished.IsZero() || !have.same(i)
 		r.entries[i.ID] = &rollEntry{Instance: i}
 	}
 	for id, e := range r.entries {
 		if !listed[id] && e.vanished.IsZero() {
-			e.vanished = now
+			e.vanished, changed = now, true
 		}
 	}
+	return changed
+}
+
+// same reports whether two entries differ at most in the time of warming up
+// that is left, which runs out by itself.
+func (i Instance) same(o Instance) bool {
+	warm, otherWarm := i.ColdFor > 0, o.ColdFor > 0
+	i.ColdFor, o.ColdFor = 0, 0
+	return i == o && warm == otherWarm
 }
 
 // Instances returns the instances that count now. One that announced its end is
--- a/observer/roll_test.go
+++ b/observer/roll_test.go
@@ -48,3 +48,30 @@
 	r.List(start.Add(2*time.Second), []observer.Instance{{ID: "a"}})
 	g.Expect(r.Instances(start.Add(time.Hour))).To(HaveLen(1))
 }
+
+// A list that tells only that instances go on warming up is no news to other VMs.
+func TestRollTellsWhatMatters(t *testing.T) {
+	g := NewWithT(t)
+	r := observer.NewRoll()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cold := observer.Instance{ID: "i-1", Group: "db", ColdFor: 2 * time.Second}
+	warmer, warm, leaving := cold, cold, cold
+	warmer.ColdFor, warm.ColdFor, leaving.ColdFor = time.Second, 0, 0
+	leaving.Leaving = true
+	steps := []struct {
+		name    string
+		list    []observer.Instance
+		changed bool
+	}{
+		{"came", []observer.Instance{cold}, true},
+		{"warms up", []observer.Instance{warmer}, false},
+		{"is warm", []observer.Instance{warm}, true},
+		{"again", []observer.Instance{warm}, false},
+		{"leaves", []observer.Instance{leaving}, true},
+		{"is gone", nil, true},
+		{"still gone", nil, false},
+	}
+	for _, s := range steps {
+		g.Expect(r.List(now, s.list)).To(Equal(s.changed), s.name)
+	}
+}
