--- a/gossiper/changes.go
+++ b/gossiper/changes.go
@@ -3,14 +3,13 @@
 import (
 	"maps"
 	"slices"
-	"time"
 )
 
-// tellFor is how long a change is told: until it has gone out lostMessages times
-// to speakers of other availability zones.
-const tellFor = farSilentAfter
+// tellTimes is how often a change is told; who missed all of them notices by the
+// hash and asks for everything.
+const tellTimes = lostMessages
 
-// changes keeps what a speaker tells, and since when.
+// changes keeps what a speaker tells.
 type changes struct {
 	// direct is the VMs that report to this one, all what reporters are told.
 	direct, all audience
@@ -27,12 +26,12 @@
 	hash  uint64
 }
 
-// told is an entry that was told, with the time of its last change.
+// told is an entry, and how often its last change is still to be told.
 type told struct {
-	entry   Entry
-	hash    uint64
-	changed time.Time
-	gone    bool
+	entry Entry
+	hash  uint64
+	left  int
+	gone  bool
 }
 
 // newAudience returns an audience that was told nothing.
@@ -41,7 +40,7 @@
 }
 
 // update takes the VMs that are alive, by availability zone and name.
-func (a *audience) update(now time.Time, alive map[string]map[string]Entry) {
+func (a *audience) update(alive map[string]map[string]Entry) {
 	for zone, entries := range alive {
 		have := a.zones[zone]
 		if have == nil {
@@ -55,7 +54,7 @@
 			a.drop(have, name)
 			h := e.hash(zone)
 			a.hash ^= h
-			have[name] = told{entry: e, hash: h, changed: now}
+			have[name] = told{entry: e, hash: h, left: tellTimes}
 		}
 	}
 	for zone, have := range a.zones {
@@ -64,8 +63,8 @@
 			case ok:
 			case !t.gone:
 				a.drop(have, name)
-				have[name] = told{entry: t.entry, changed: now, gone: true}
-			case now.Sub(t.changed) > tellFor:
+				have[name] = told{entry: t.entry, left: tellTimes, gone: true}
+			case t.left == 0:
 				delete(have, name)
 			}
 		}
@@ -82,17 +81,20 @@
 	}
 }
 
-// recent returns what changed of late.
-func (a *audience) recent(now time.Time) []Set {
+// next returns the changes that are to be told now.
+func (a *audience) next() []Set {
 	var out []Set
 	for zone, have := range a.zones {
 		s := Set{Zone: zone}
 		for name, t := range have {
-			switch {
-			case now.Sub(t.changed) > tellFor:
-			case t.gone:
+			if t.left == 0 {
+				continue
+			}
+			t.left--
+			have[name] = t
+			if t.gone {
 				s.Gone = append(s.Gone, name)
-			default:
+			} else {
 				s.Entries = append(s.Entries, t.entry)
 			}
 		}
--- a/gossiper/hearing.go
+++ b/gossiper/hearing.go
@@ -163,16 +163,13 @@
 
 // tellAll tells a VM all that it should know from this one.
 func (g *Gossiper) tellAll(now time.Time, at netip.AddrPort) {
+	m := g.write(now, Newcomer)
 	g.mu.Lock()
-	a := g.audiences(now, true)
-	g.mu.Unlock()
 	to := Speakers
-	if a.alls[at] {
+	if g.audiences(now, true).alls[at] {
 		to = Reporters
 	}
-	d := g.digest(now, to)
-	d.From = g.write(now, Newcomer)
-	g.mu.Lock()
+	d := g.outline(now, to, m)
 	told := g.told(to)
 	d.Zones = told.names()
 	sets := make([]Set, 0, len(d.Zones))
--- a/gossiper/telling.go
+++ b/gossiper/telling.go
@@ -95,14 +95,20 @@
 	return out
 }
 
-// digest returns what speakers, or reporters, are told.
+// digest returns the changes that speakers, or reporters, are told.
 func (g *Gossiper) digest(now time.Time, to Audience) Digest {
-	d := Digest{From: g.write(now, to), Direct: to == Speakers}
+	m := g.write(now, to)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	d := g.outline(now, to, m)
+	d.Sets = g.told(to).next()
+	return d
+}
+
+// outline returns a digest without VMs. The lock is held.
+func (g *Gossiper) outline(now time.Time, to Audience, m Message) Digest {
 	g.refresh(now)
-	told := g.told(to)
-	d.Hash, d.Sets, d.Tallies = told.hash, told.recent(now), g.ownTallies(now)
+	d := Digest{From: m, Direct: to == Speakers, Hash: g.told(to).hash, Tallies: g.ownTallies(now)}
 	if !d.Direct {
 		d.Tallies = append(d.Tallies, g.farTallies(now)...)
 	}
@@ -128,7 +134,7 @@
 			own[name] = p.entry()
 		}
 	}
-	g.changes.direct.update(now, map[string]map[string]Entry{g.zone: own})
+	g.changes.direct.update(map[string]map[string]Entry{g.zone: own})
 	all := map[string]map[string]Entry{g.zone: own}
 	for _, s := range g.sources {
 		if !s.direct || !s.fresh(now, g.zone) {
@@ -147,7 +153,7 @@
 			}
 		}
 	}
-	g.changes.all.update(now, all)
+	g.changes.all.update(all)
 }
 
 // spread sends a message to some others.
