fix: speakers know the versions of the speakers of other availability zones

Cause: of a speaker in another availability zone only its entry was kept, not its own message, so a zone both of whose speakers the store had gone silent to did not fetch a later configuration until their watches ended after 8 s. Tests: TestVersionsOfSpeakersAreKnown for speakers, and TestConfigurationPastSilentSpeakers on the whole path; both failed before.

--- a/gossiper/large_test.go
+++ b/gossiper/large_test.go
@@ -72,20 +72,23 @@
 }
 
 // A VM knows the version of the configuration that its speakers have, from whom
-// it fetches it.
+// it fetches it, and a speaker that of the speakers of all availability zones.
 func TestVersionsOfSpeakersAreKnown(t *testing.T) {
 	fleet(t, 60, 6, func(g *WithT, _ *hub, vms []*gossiper.Gossiper, _ []*port) {
 		for n, vm := range vms {
-			if vm.Speaks(time.Now()) {
-				continue
-			}
-			versions := 0
+			versions := map[string]int{}
 			for _, p := range vm.Alive(time.Now()) {
 				if p.Version > 0 {
-					versions++
+					versions[p.AvailabilityZone]++
 				}
 			}
-			g.Expect(versions).To(BeNumerically(">=", 2), "at VM %d", n)
+			if !vm.Speaks(time.Now()) {
+				g.Expect(versions[fmt.Sprintf("z-%d", n%6)]).To(BeNumerically(">=", 2), "at VM %d", n)
+				continue
+			}
+			for zone := range 6 {
+				g.Expect(versions[fmt.Sprintf("z-%d", zone)]).To(BeNumerically(">=", 1), "at speaker %d", n)
+			}
 		}
 	})
 }
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -55,13 +55,11 @@
 			r.merge(s, g.name)
 		}
 	}
+	for _, s := range g.sources {
+		r.noteOwn(Peer{Message: s.from, Heard: s.heard}, s.fresh(now, g.zone))
+	}
 	for _, p := range g.peers {
-		direct := now.Sub(p.Heard) < silentAfter
-		r.note(*p, direct)
-		if m := r.known[p.Name]; direct && m.Incarnation <= p.Incarnation {
-			// Its own message tells more than an entry.
-			m.Peer = *p
-		}
+		r.noteOwn(*p, now.Sub(p.Heard) < silentAfter)
 	}
 	r.alive, r.near = nil, nil
 	for _, name := range slices.Sorted(maps.Keys(r.known)) {
@@ -93,6 +91,14 @@
 	}
 }
 
+// noteOwn notes a VM's own message, which tells more than an entry.
+func (r *roster) noteOwn(p Peer, fresh bool) {
+	r.note(p, fresh)
+	if m := r.known[p.Name]; fresh && m.Incarnation <= p.Incarnation {
+		m.Peer = p
+	}
+}
+
 // note notes that a VM was heard, or told of.
 func (r *roster) note(p Peer, alive bool) {
 	m := r.known[p.Name]
--- a/gossiper/source.go
+++ b/gossiper/source.go
@@ -13,6 +13,8 @@
 
 // source is what a speaker told.
 type source struct {
+	// from is the speaker's own message.
+	from        Message
 	address     netip.AddrPort
 	zone        string
 	incarnation uint64
@@ -30,7 +32,7 @@
 		s.zones, s.hash = map[string]map[string]Entry{}, 0
 	}
 	s.address, s.zone, s.incarnation, s.direct, s.heard = d.From.Address, d.From.AvailabilityZone, d.From.Incarnation, d.Direct, now
-	s.tallies = d.Tallies
+	s.from, s.tallies = d.From, d.Tallies
 	before := s.hash
 	for _, set := range d.Sets {
 		s.takeSet(set)
