--- a/delegator/transaction.go
+++ b/delegator/transaction.go
@@ -81,3 +81,11 @@
 	t.stream.d.journal.Request("holder-failed", u.Statement.ID, journaler.F("holder", t.holder), journaler.F("kind", u.Statement.Kind),
 		journaler.Reason(r.Answer.Detail), journaler.F("error", err))
 }
+
+// unknown is the answer to a commit that a holder did not answer.
+func unknown(wrote bool) phraser.Answer {
+	if wrote {
+		return dispatcher.InDoubt("the holder did not answer the commit")
+	}
+	return phraser.Refuse(phraser.Aborted, coder.QueueTimeout.String()+" the holder did not answer")
+}
--- a/gossiper/source.go
+++ b/gossiper/source.go
@@ -1,38 +1,31 @@
 package gossiper
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 )
 
-const (
-	// askEvery is the least time between two questions to a speaker for all that it knows.
-	askEvery = time.Second
-)
+// askEvery is the least time between two questions to a speaker for all that it knows.
+const askEvery = time.Second
 
 // source is what a speaker told.
 type source struct {
 	// from is the speaker's own message.
-	from        Message
-	address     netip.AddrPort
-	zone        string
-	incarnation uint64
-	direct      bool
-	heard       time.Time
-	asked       time.Time
-	zones       map[string]map[string]Entry
-	hash        uint64
-	tallies     []Tally
+	from    Message
+	direct  bool
+	heard   time.Time
+	asked   time.Time
+	zones   map[string]map[string]Entry
+	hash    uint64
+	tallies []Tally
 }
 
 // take takes what a digest tells, and reports whether the VMs changed.
 func (s *source) take(now time.Time, d *Digest) bool {
-	if s.zones == nil || s.incarnation != d.From.Incarnation || s.direct != d.Direct {
+	if s.zones == nil || s.from.Incarnation != d.From.Incarnation || s.direct != d.Direct {
 		s.zones, s.hash = map[string]map[string]Entry{}, 0
 	}
-	s.address, s.zone, s.incarnation, s.direct, s.heard = d.From.Address, d.From.AvailabilityZone, d.From.Incarnation, d.Direct, now
-	s.from, s.tallies = d.From, d.Tallies
+	s.from, s.direct, s.heard, s.tallies = d.From, d.Direct, now, d.Tallies
 	before := s.hash
 	for _, set := range d.Sets {
 		s.takeSet(set)
@@ -79,7 +72,7 @@
 
 // fresh reports whether the speaker was heard a moment ago by a VM of an availability zone.
 func (s *source) fresh(now time.Time, zone string) bool {
-	if s.zone == zone {
+	if s.from.AvailabilityZone == zone {
 		return now.Sub(s.heard) < silentAfter
 	}
 	return now.Sub(s.heard) < farSilentAfter
--- a/gossiper/speaking.go
+++ b/gossiper/speaking.go
@@ -127,8 +127,8 @@
 	}
 	delete(zones, g.zone)
 	for _, s := range g.sources {
-		if zones[s.zone] && s.direct && s.fresh(now, g.zone) {
-			to[s.address] = true
+		if zones[s.from.AvailabilityZone] && s.direct && s.fresh(now, g.zone) {
+			to[s.from.Address] = true
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
