--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -56,6 +56,8 @@
 	Lines       uint64                 `json:"lines-left-out"`
 	Connections int                    `json:"connections"`
 	Opened      uint64                 `json:"connections-opened"`
+	Speaks      bool                   `json:"speaks"`
+	Units       int64                  `json:"units-under-way"`
 }
 
 // shareOfRate is a VM's part of the rate of an organisation.
@@ -71,6 +73,7 @@
 		VM: p.Parts.Settings.VM.ID, Incarnation: p.State.incarnation, Leaving: p.Sessions.Leaving(), Sessions: p.Sessions.Sessions(),
 		StoreLost: p.State.storeLost.Load(), StoreCalls: p.Parts.Adapter.Store().Calls(), Duty: p.Leaser.Known(),
 		Peers: p.Gossiper.Known(now), Shares: map[string]shareOfRate{}, Lines: p.Journal.Dropped(),
+		Speaks: p.Gossiper.Speaks(now), Units: p.Units.Active(),
 	}
 	for _, st := range p.Dispatcher.Pools() {
 		d.Connections += st.Open
--- a/assembler/samples.go
+++ b/assembler/samples.go
@@ -46,6 +46,8 @@
 		gauge(float64(p.Catalogue.Version()), "configuration_version"),
 		gauge(p.Catalogue.Age(now).Seconds(), "configuration_in_force_seconds"),
 		gauge(float64(len(p.Gossiper.Alive(now))), "vms_heard"),
+		gauge(whether(p.Gossiper.Speaks(now)), "speaks"),
+		gauge(float64(p.Units.Active()), "units_under_way"),
 		count(p.Journal.Dropped(), "log_lines_left_out_total"),
 	}
 }
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -32,8 +32,9 @@
 	Address netip.AddrPort `cbor:"2,keyasint"`
 	// AvailabilityZone is where the VM runs.
 	AvailabilityZone string `cbor:"10,keyasint,omitempty"`
-	// Listing is the store's revision of the list of instances known there, and
-	// Fresh reports that it comes from a store that answered a moment ago.
+	// Listing is the store's revision of the last change that matters of the list
+	// of instances known there, and Fresh reports that it comes from a store that
+	// answered a moment ago.
 	Listing uint64 `cbor:"11,keyasint,omitempty"`
 	Fresh   bool   `cbor:"12,keyasint,omitempty"`
 	// Incarnation tells the processes of one VM apart; a later one is greater.
