--- a/dater/book.go
+++ b/dater/book.go
@@ -52,13 +52,6 @@
 	return e.at(now), true
 }
 
-// Forget drops the stamps of a process.
-func (b *Book[K]) Forget(of K) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.entries, of)
-}
-
 // at returns the stamp advanced to the present time.
 func (e entry) at(now time.Time) Stamp {
 	return Stamp{Process: e.stamp.Process, At: e.stamp.At + now.Sub(e.taken)}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -108,7 +108,8 @@
 	d.journal.Request("holder-failed", u.Statement.ID, journaler.F("holder", name), journaler.Group(u.Route.Group), journaler.Err(err))
 }
 
-// Run lets a holder run a single statement; ok is false when it certainly did not.
+// Run lets a holder run a single statement; ok is false when it certainly did
+// not, or when the statement only reads and may be run again.
 func (d *Delegator) Run(ctx context.Context, u dispatcher.Unit) (a phraser.Answer, ok bool) {
 	now := d.clock.Now()
 	name, at, ok := d.holder(now, u)
@@ -120,9 +121,9 @@
 		d.avoid(now, name, u, err)
 		return a, false
 	}
-	r, sent, err := s.first(run, u)
+	r, err := s.first(run, u)
 	switch {
-	case err != nil && sent && u.Writes:
+	case err != nil && u.Writes:
 		d.avoid(now, name, u, err)
 		return dispatcher.InDoubt("the holder did not answer"), true
 	case err != nil:
@@ -147,7 +148,7 @@
 		d.avoid(now, name, u, err)
 		return nil, a, false
 	}
-	r, _, err := s.first(open, u)
+	r, err := s.first(open, u)
 	if err != nil {
 		d.avoid(now, name, u, err)
 		return nil, a, false
--- a/delegator/stream.go
+++ b/delegator/stream.go
@@ -33,7 +33,7 @@
 
 // first sends the first request of a unit and ends the stream unless a
 // transaction is open then.
-func (s *stream) first(v verb, u dispatcher.Unit) (r reply, sent bool, err error) {
+func (s *stream) first(v verb, u dispatcher.Unit) (r reply, err error) {
 	now := s.d.clock.Now()
 	took := now.Sub(u.Began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(u.Route.Timeout-took, 0))
@@ -44,7 +44,7 @@
 	if err != nil || !r.Open {
 		s.end(err == nil)
 	}
-	return r, true, err
+	return r, err
 }
 
 // watched sends a request and pings the holder while it keeps this VM waiting.
--- a/dispatcher/parts.go
+++ b/dispatcher/parts.go
@@ -48,7 +48,8 @@
 
 // Elsewhere lets other VMs run units of work that were admitted here.
 type Elsewhere interface {
-	// Run runs a single statement; ok is false when it certainly did not run.
+	// Run runs a single statement; ok is false when it certainly did not run, or
+	// only reads.
 	Run(ctx context.Context, u Unit) (a phraser.Answer, ok bool)
 	// Open begins a transaction; ok is false when this VM should.
 	Open(ctx context.Context, u Unit) (t Transaction, a phraser.Answer, ok bool)
--- a/gossiper/tally.go
+++ b/gossiper/tally.go
@@ -19,6 +19,17 @@
 	Served int    `cbor:"5,keyasint,omitempty"`
 }
 
+// add counts what one VM says of a primary, if it is of the same term.
+func (t *Tally) add(n GroupNews) {
+	switch {
+	case n.Group != t.Group || n.Term != t.Term:
+	case n.Unreached:
+		t.Lost++
+	case n.Reached:
+		t.Served++
+	}
+}
+
 // count counts what the VMs that report here say of a primary. The lock is held.
 func (g *Gossiper) count(now time.Time, group string, term uint64) Tally {
 	t := Tally{Group: group, Term: term, Zone: g.zone}
@@ -27,13 +38,7 @@
 			continue
 		}
 		for _, n := range p.Groups {
-			switch {
-			case n.Group != group || n.Term != term:
-			case n.Unreached:
-				t.Lost++
-			case n.Reached:
-				t.Served++
-			}
+			t.add(n)
 		}
 	}
 	return t
@@ -62,13 +67,7 @@
 	for group, term := range contested {
 		t := g.count(now, group, term)
 		for _, n := range g.self.Groups {
-			switch {
-			case n.Group != group || n.Term != term:
-			case n.Unreached:
-				t.Lost++
-			case n.Reached:
-				t.Served++
-			}
+			t.add(n)
 		}
 		if t.Lost+t.Served > 0 {
 			out = append(out, t)
