--- a/observer/observer.go
+++ b/observer/observer.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		cost := s.expected(now)
-		if now.Before(s.suspectUntil) {
+		if s.suspect(now) {
 			cost += suspectPenalty
 		}
 		if now.Before(s.laggingUntil) && !n.After.Before(s.lacked) {
--- a/observer/state.go
+++ b/observer/state.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// suspect reports whether to avoid the instance: it failed a moment ago, or one
+// statement is already finding out whether it answers again.
+//
+// It answers an instance that went dark: without it each of its reads that comes
+// between two failures waits for a connection until it is refused.
+func (s *instanceState) suspect(now time.Time) bool {
+	return now.Before(s.suspectUntil) || (s.failures > 0 && s.underWay > 0)
+}
+
 // expected returns how long an answer is likely to take.
 func (s *instanceState) expected(now time.Time) time.Duration {
 	latency := s.latency
--- /dev/null
+++ b/observer/suspect_test.go
@@ -0,0 +1,70 @@
+package observer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/phraser"
+)
+
+// Of the reads that come while a near instance is dark, one at a time finds out
+// whether it answers again; all others run at the far one.
+func TestDarkInstanceGetsOneReadAtATime(t *testing.T) {
+	g := NewWithT(t)
+	o := observer.New(func(zone string) time.Duration {
+		if zone == "near" {
+			return time.Millisecond
+		}
+		return 16 * time.Millisecond
+	}, time.Second)
+	near := observer.Instance{ID: "near", Group: "g", AvailabilityZone: "near", Slots: 3}
+	far := observer.Instance{ID: "far", Group: "g", AvailabilityZone: "far", Slots: 3}
+	o.SetInstances(start, []observer.Instance{near, far})
+
+	const darkFor, gap, unanswered = 10 * time.Second, 5 * time.Millisecond, 300 * time.Millisecond
+	var ends []time.Time
+	atNear, most := 0, 0
+	for now := start; now.Before(start.Add(darkFor)); now = now.Add(gap) {
+		for len(ends) > 0 && !ends[0].After(now) {
+			o.Fail(now, near)
+			ends = ends[1:]
+		}
+		i, ok := o.Choose(now, observer.Need{Group: "g"})
+		g.Expect(ok).To(BeTrue())
+		o.Begin(i)
+		if i.ID == far.ID {
+			o.End(now, now.Add(-16*time.Millisecond), i, phraser.Answer{Result: phraser.Done})
+			continue
+		}
+		atNear++
+		ends = append(ends, now.Add(unanswered))
+		if now.After(start.Add(unanswered)) {
+			most = max(most, len(ends))
+		}
+	}
+	g.Expect(most).To(Equal(1))
+	g.Expect(atNear).To(BeNumerically("<=", int(unanswered/gap)+int(darkFor/unanswered)))
+}
+
+// An instance that answers again is used as before.
+func TestInstanceThatAnswersAgainIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	o := observer.New(func(string) time.Duration { return time.Millisecond }, time.Second)
+	a := observer.Instance{ID: "a", Group: "g", Slots: 3}
+	b := observer.Instance{ID: "b", Group: "g", Slots: 3}
+	o.SetInstances(start, []observer.Instance{a, b})
+	o.Begin(a)
+	o.Fail(start, a)
+	later := start.Add(time.Second)
+	i, _ := o.Choose(later, observer.Need{Group: "g"})
+	g.Expect(i.ID).To(Equal("a"))
+	o.Begin(a)
+	i, _ = o.Choose(later, observer.Need{Group: "g"})
+	g.Expect(i.ID).To(Equal("b"))
+	o.End(later, later, a, phraser.Answer{Result: phraser.Done})
+	i, _ = o.Choose(later, observer.Need{Group: "g"})
+	g.Expect(i.ID).To(Equal("a"))
+}
