perf: a lost primary is not waited for once all replicas are stopped

Cause: a primary that counts as lost was asked for its term (150 ms) and to step down (400 ms until the question fails) before its successor was named, though the replicas' word is enough: with all of them stopped the longest log holds every acknowledged commit. Ruled out: naming the successor before the replicas are stopped. Test: a successor is named within 700 ms of the failure; before, 1.066 s.

--- a/switcher/candidate.go
+++ b/switcher/candidate.go
@@ -1,6 +1,8 @@
 package switcher
 
 import (
+	"slices"
+
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
 )
@@ -22,11 +24,9 @@
 // with the longest log an instance that stays goes first.
 func Elect(former *Witness, replicas []Witness) (observer.Instance, bool) {
 	var best *Witness
-	all := true
 	for n := range replicas {
 		w := &replicas[n]
 		if w.Status == nil {
-			all = false
 			continue
 		}
 		if best == nil || better(w, best) {
@@ -34,7 +34,7 @@
 		}
 	}
 	stepped := former != nil && former.Status != nil && !former.Status.Leads
-	if best != nil && (all || (stepped && !best.Status.Received.Before(former.Status.Received))) {
+	if best != nil && (allAnswered(replicas) || (stepped && !best.Status.Received.Before(former.Status.Received))) {
 		return best.Instance, true
 	}
 	if stepped && !former.Instance.Leaving {
@@ -43,6 +43,11 @@
 	return observer.Instance{}, false
 }
 
+// allAnswered reports whether all of the instances said something.
+func allAnswered(list []Witness) bool {
+	return !slices.ContainsFunc(list, func(w Witness) bool { return w.Status == nil })
+}
+
 // better reports whether a should lead rather than b.
 func better(a, b *Witness) bool {
 	if a.Status.Received != b.Status.Received {
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,7 +43,11 @@
 	newest := known
 	quick, cancel := context.WithTimeout(ctx, surveyWithin)
 	defer cancel()
-	for _, w := range s.survey(quick, instances, phraser.Statement{Kind: phraser.Status}) {
+	asked := instances
+	if v == Lost {
+		asked = others(instances, formerID)
+	}
+	for _, w := range s.survey(quick, asked, phraser.Statement{Kind: phraser.Status}) {
 		if w.Status != nil {
 			newest = max(newest, w.Status.Term, w.Status.PausedFor)
 		}
@@ -65,7 +70,7 @@
 		s.Announcer.Announce(ctx, written, record)
 		return nil
 	})
-	former, replicas := s.stop(ctx, instances, formerID, term)
+	former, replicas := s.stop(ctx, instances, formerID, term, v == Lost)
 	next, ok := Elect(former, replicas)
 	if !ok {
 		s.release(ctx, replicas)
@@ -116,30 +121,29 @@
 	}
 }
 
-// stop keeps the former primary from acknowledging anything, and returns what the instances said.
-func (s *Switcher) stop(ctx context.Context, instances []observer.Instance, formerID string, term uint64) (*Witness, []Witness) {
-	var others []observer.Instance
-	for _, i := range instances {
-		if i.ID != formerID {
-			others = append(others, i)
-		}
-	}
-	former, ok := find(instances, formerID)
-	var stepped []Witness
-	done := make(chan struct{})
+// stop keeps the former primary from acknowledging anything, and returns what the
+// instances said. A primary that is lost is told as well, but once all replicas
+// are stopped it is not waited for.
+func (s *Switcher) stop(ctx context.Context, instances []observer.Instance, formerID string, term uint64, lost bool) (*Witness, []Witness) {
+	stepped := make(chan *Witness, 1)
 	s.group.Go(func() error {
-		defer close(done)
-		if ok {
-			stepped = s.survey(ctx, []observer.Instance{former}, phraser.Statement{Kind: phraser.StepDown, Term: term})
+		var w *Witness
+		if former, ok := find(instances, formerID); ok {
+			w = &s.survey(ctx, []observer.Instance{former}, phraser.Statement{Kind: phraser.StepDown, Term: term})[0]
 		}
+		stepped <- w
 		return nil
 	})
-	replicas := s.survey(ctx, others, phraser.Statement{Kind: phraser.Pause, Term: term})
-	<-done
-	if len(stepped) == 0 {
+	replicas := s.survey(ctx, others(instances, formerID), phraser.Statement{Kind: phraser.Pause, Term: term})
+	if lost && len(replicas) > 0 && allAnswered(replicas) {
 		return nil, replicas
 	}
-	return &stepped[0], replicas
+	return <-stepped, replicas
+}
+
+// others returns the instances but for the one with an id.
+func others(list []observer.Instance, id string) []observer.Instance {
+	return slices.DeleteFunc(slices.Clone(list), func(i observer.Instance) bool { return i.ID == id })
 }
 
 // release lets the replicas receive again.
