fix: a VM tries the store as soon as a primary may be lost

Now the two VMs that would act first read the record when a primary first fails to answer, and say at once if the store does not answer them. Test: a VM without the store says so within 200 ms of the first failure.

--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -37,6 +37,8 @@
 type Lease interface {
 	// Acquire takes or renews the duty; change edits the record that goes with it.
 	Acquire(ctx context.Context, change func(r *leaser.Record)) (leaser.Grant, error)
+	// Look reads the record and returns it with the time as of which it was so.
+	Look(ctx context.Context) (leaser.Record, time.Time, error)
 	// Known returns the record as last seen.
 	Known() leaser.Record
 }
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -153,3 +153,16 @@
 		w.Expect(g.promoted.Sub(failed)).To(BeNumerically("<=", 700*time.Millisecond))
 	})
 }
+
+// A VM that cannot reach the store says so before it would have to act, so that
+// another one acts in its place.
+func TestStoreIsTriedOnFirstSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		g := &group{storeLost: true}
+		fail(t, g, 200*time.Millisecond)
+		w.Expect(g.reached).To(HaveLen(1))
+		w.Expect(g.reached[0]).To(HaveOccurred())
+		w.Expect(g.hurried).To(Equal(1))
+	})
+}
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -30,6 +30,11 @@
 	// standbys is the number of VMs that look at the groups; the others would wait
 	// for longer than it takes to notice that these are gone.
 	standbys = 8
+	// checkers is the number of those that find out whether the store answers them
+	// as soon as a primary may be lost; each call has its price.
+	checkers = 2
+	// checkWithin bounds that: it ends before a primary counts as lost.
+	checkWithin = lostAfter * 4 / 5
 	// rankAge is how long a VM's place counts unless other VMs are alive.
 	rankAge = 500 * time.Millisecond
 	// duty names the duty for the ranking of the VMs.
@@ -44,9 +49,11 @@
 	paused     map[string]time.Time
 	retry      map[string]time.Time
 	begun      map[string]time.Time
-	inspected  time.Time
-	ranked     ranked
-	group      errgroup.Group
+	// checked is the failure of each group's primary for which the store was tried.
+	checked   map[string]time.Time
+	inspected time.Time
+	ranked    ranked
+	group     errgroup.Group
 
 	mu    sync.Mutex
 	stale []deposed
@@ -56,7 +63,7 @@
 
 // New returns a Switcher.
 func New(p Parts) *Switcher {
-	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}, begun: map[string]time.Time{}}
+	return &Switcher{Parts: p, leaderless: map[string]time.Time{}, paused: map[string]time.Time{}, retry: map[string]time.Time{}, begun: map[string]time.Time{}, checked: map[string]time.Time{}}
 }
 
 // Promotions returns how many promotions the platform accepted from this VM,
@@ -69,6 +76,7 @@
 func (s *Switcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	defer func() { _ = s.group.Wait() }()
 	for {
 		select {
 		case <-ticker.C:
@@ -95,7 +103,11 @@
 		if now.Before(s.retry[group]) {
 			continue
 		}
-		verdict := Decide(now, s.view(now, group, rank))
+		view := s.view(now, group, rank)
+		if rank < checkers {
+			s.check(ctx, group, view.Unserved)
+		}
+		verdict := Decide(now, view)
 		if verdict == Keep {
 			continue
 		}
@@ -107,6 +119,26 @@
 	}
 }
 
+// check finds out, as soon as a primary may be lost, whether this VM could take
+// the duty: a VM that leaves the store to others may not know that the store
+// turns it away, and would find out only when it acts.
+func (s *Switcher) check(ctx context.Context, group string, unserved time.Time) {
+	if unserved.IsZero() || s.checked[group].Equal(unserved) {
+		return
+	}
+	s.checked[group] = unserved
+	s.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(ctx, checkWithin)
+		defer cancel()
+		_, _, err := s.Lease.Look(ctx)
+		s.noteStore(err)
+		if err != nil {
+			s.Fleet.Hurry()
+		}
+		return nil
+	})
+}
+
 // rank returns this VM's place among those that may replace primaries, or -1.
 func (s *Switcher) rank(now time.Time) int {
 	if !s.Fit(now) {
