--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -4,17 +4,26 @@
 	"net/url"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/explainer"
+	"github.com/marigoldgauge/marigoldgauge/narrator"
 )
 
-// explainCmd explains the last decisions of a process.
+// explainCmd explains the last decisions of a process, or from logs.
 type explainCmd struct {
-	Process string `arg:"" help:"Operator address of the process." placeholder:"IP:PORT"`
+	narrator.Command
+	Process string `arg:"" optional:"" help:"Operator address of the process; with --log the id of a request." placeholder:"IP:PORT"`
 	Subject string `arg:"" optional:"" help:"Group, organisation or VM; all when left out."`
 }
 
 // Run shows the decisions.
 func (c *explainCmd) Run(s *session) error {
+	if len(c.Log) > 0 {
+		return c.Explain(s.out, c.Process)
+	}
+	if c.Process == "" {
+		return coder.New(coder.UsageInvalid, "name a process, or a log with --log")
+	}
 	var events []explainer.Event
 	if err := s.ask(c.Process, "/explain?subject="+url.QueryEscape(c.Subject), &events); err != nil {
 		return err
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -52,7 +52,7 @@
 	Watch        watchCmd                     `cmd:"" help:"Watch a change take force."`
 	History      historyCmd                   `cmd:"" help:"List or show accepted changes."`
 	Dump         dumpCmd                      `cmd:"" help:"Show the state of a process."`
-	Explain      explainCmd                   `cmd:"" help:"Explain the last decisions of a process."`
+	Explain      explainCmd                   `cmd:"" help:"Explain the last decisions of a process, or tell from logs what became of requests."`
 	Codes        codesCmd                     `cmd:"" help:"Show the result code table."`
 	Capacity     capacityCmd                  `cmd:"" help:"Work out the needs at the size of two years from now."`
 	Demo         demoCmd                      `cmd:"" help:"Run a small fleet on stand-ins under load."`
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -29,7 +29,7 @@
 	if !ok {
 		share, demand := d.Sharer.Share(u.Organisation)
 		d.Sharer.Refused(u.Organisation)
-		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation),
+		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation), journaler.F("route-kind", u.Route.Kind),
 			journaler.F("share", share), journaler.F("demand", demand), journaler.F("retry-after", wait))
 		return refuse(phraser.Busy, coder.OverRate, "over the rate, retry after "+wait.Round(time.Millisecond).String()), false
 	}
