feat: a unit that cannot be served in time is refused at once and told when to come back

Cause: a unit that needed a lost primary, or a position of one, looked every 15 ms until the time of its route was over, or stood in line for a connection to a dark instance for half of its target; when to come back was told for rates only, as text. Now package decider decides without a network, from what is taken for true of the primary (lost since when, how long replacements took lately, when it opens): proceed, wait for an event, or refuse with a time to return, spread over the target. The dispatcher waits for changes of the observer instead of polling. The time to return is a field of the answer. Ruled out: counting commits without an answer as silence; after lost answers a VM would send no commit any more that could show the contrary.

--- a/delegator/message.go
+++ b/delegator/message.go
@@ -105,14 +105,16 @@
 	Detail    string           `cbor:"4,keyasint,omitempty"`
 	State     phraser.State    `cbor:"5,keyasint,omitempty"`
 	Position  tracker.Position `cbor:"6,keyasint,omitzero"`
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // packAnswer writes an answer.
 func packAnswer(a phraser.Answer) answer {
-	return answer{Rows: a.Rows, Signature: a.Signature, Result: a.Result, Detail: a.Detail, State: a.State, Position: a.Position}
+	return answer{Rows: a.Rows, Signature: a.Signature, Result: a.Result, Detail: a.Detail, State: a.State, Position: a.Position, RetryAfter: a.RetryAfter}
 }
 
 // unpack reads an answer.
 func (a answer) unpack() phraser.Answer {
-	return phraser.Answer{Rows: a.Rows, Signature: a.Signature, Result: a.Result, Detail: a.Detail, State: a.State, Position: a.Position}
+	return phraser.Answer{Rows: a.Rows, Signature: a.Signature, Result: a.Result, Detail: a.Detail, State: a.State, Position: a.Position, RetryAfter: a.RetryAfter}
 }
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/coder"
@@ -31,7 +30,9 @@
 		d.Sharer.Refused(u.Organisation)
 		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation), journaler.F("route-kind", u.Route.Kind),
 			journaler.F("share", share), journaler.F("demand", demand), journaler.F("retry-after", wait))
-		return refuse(phraser.Busy, coder.OverRate, "over the rate, retry after "+wait.Round(time.Millisecond).String()), false
+		a := refuse(phraser.Busy, coder.OverRate, "over the rate")
+		a.RetryAfter = wait
+		return a, false
 	}
 	d.Sharer.Admitted(u.Organisation)
 	if wait > 0 {
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -45,33 +45,18 @@
 			return false
 		}
 		if !r.asked.Before(asOf) && d.Observer.Confirmed(group).Before(asOf) {
-			if !clocker.Sleep(ctx, pollEvery) {
+			if !clocker.Sleep(ctx, pauseBetweenAttempts) {
 				return false
 			}
 		}
 	}
 }
 
-// awaitRound waits for one round of questions to a group.
-func (d *Dispatcher) awaitRound(ctx context.Context, group string) {
-	select {
-	case <-d.ask(group).done:
-	case <-ctx.Done():
-	}
-}
-
 // Ask asks the instances of a group what they are, without waiting for the answers.
 func (d *Dispatcher) Ask(group string) {
 	d.ask(group)
 }
 
-// askUnknown asks a group unless its primary is known and listed.
-func (d *Dispatcher) askUnknown(group string) {
-	if _, _, ok := d.Observer.Primary(group); !ok || d.Observer.Unlisted(group) {
-		d.ask(group)
-	}
-}
-
 // ask starts a round unless one is under way.
 func (d *Dispatcher) ask(group string) *round {
 	d.mu.Lock()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,11 +24,6 @@
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
-const (
-	// pollEvery is how often a waiting statement looks whether it can go on.
-	pollEvery = 15 * time.Millisecond
-)
-
 // Dispatcher runs statements. It is safe for concurrent use.
 type Dispatcher struct {
 	Parts
@@ -40,13 +35,15 @@
 	rounds map[string]*round
 	// surveyed is when the last round of each group began.
 	surveyed map[string]time.Time
+	// missed is since when no primary of a group is known.
+	missed map[string]time.Time
 
 	background errgroup.Group
 }
 
 // New returns a Dispatcher without instances.
 func New(p Parts) *Dispatcher {
-	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, rounds: map[string]*round{}, surveyed: map[string]time.Time{}}
+	return &Dispatcher{Parts: p, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, rounds: map[string]*round{}, surveyed: map[string]time.Time{}, missed: map[string]time.Time{}}
 }
 
 // SetInstances takes the instances that came and went.
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/coder"
+	"github.com/marigoldgauge/marigoldgauge/decider"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/phraser"
@@ -19,31 +21,36 @@
 	last := ""
 	for {
 		now := d.Clock.Now()
-		i, after, why := d.place(ctx, now, u, tried)
+		at, refused := d.place(ctx, now, u, tried)
 		u.trace.placing += d.Clock.Now().Sub(now)
-		if why != "" {
-			return d.giveUp(now, u, tried, why+last)
+		if refused.Verdict != decider.Proceed {
+			refused.Reason += last
+			return d.giveUp(d.Clock.Now(), u, tried, refused)
 		}
-		a, done := try(i, after)
+		a, done := try(at.instance, at.after)
 		u.trace.attempts++
-		u.trace.last, u.trace.instance = a.Result.String(), i.ID
+		u.trace.last, u.trace.instance = a.Result.String(), at.instance.ID
 		if done {
 			return a
 		}
-		last = ", last " + a.Result.String() + " at " + i.ID
-		if a.Result == phraser.Full && d.saturated(i) && d.Clock.Now().Sub(u.Began) > u.Route.Target/saturatedShare {
-			return d.giveUp(d.Clock.Now(), u, tried, "no connection is free in time"+last)
+		last = ", last " + a.Result.String() + " at " + at.instance.ID
+		if a.Result == phraser.Full && d.saturated(at.instance) && d.Clock.Now().Sub(u.Began) > u.Route.Target/saturatedShare {
+			return d.giveUp(d.Clock.Now(), u, tried, decider.Decision{Verdict: decider.Refuse, Reason: "no connection is free in time" + last, RetryAfter: u.Route.Target})
 		}
-		tried = append(tried, i.ID)
+		tried = append(tried, at.instance.ID)
 		if len(tried)%attemptsBeforePause == 0 || u.leads() {
-			if !clocker.Sleep(ctx, pollEvery) {
-				return d.giveUp(d.Clock.Now(), u, tried, "the time of the route is over"+last)
+			if !clocker.Sleep(ctx, pauseBetweenAttempts) {
+				return d.giveUp(d.Clock.Now(), u, tried, decider.Decision{Verdict: decider.Refuse, Reason: "the time of the route is over" + last})
 			}
 			tried = tried[:0]
 		}
 	}
 }
 
+// pauseBetweenAttempts is the pause before an instance that did not run a
+// statement is tried again: about the time of a short statement.
+const pauseBetweenAttempts = 15 * time.Millisecond
+
 // saturatedShare is the part of a route's target after which a unit is refused
 // that finds all connections in use: served later it would only make others
 // late as well.
@@ -53,62 +60,139 @@
 const attemptsBeforePause = 3
 
 // giveUp refuses a statement that no instance could run.
-func (d *Dispatcher) giveUp(now time.Time, u Unit, tried []string, why string) phraser.Answer {
+func (d *Dispatcher) giveUp(now time.Time, u Unit, tried []string, refused decider.Decision) phraser.Answer {
 	d.Sharer.Return(now, u.Organisation)
 	primary, term, known := d.Observer.Primary(u.Route.Group)
-	d.Journal.Request("refuse", u.Statement.ID, append([]journaler.Field{journaler.Code(coder.QueueTimeout), journaler.Reason(why),
+	d.Journal.Request("refuse", u.Statement.ID, append([]journaler.Field{journaler.Code(coder.QueueTimeout), journaler.Reason(refused.Reason), journaler.F("retry-after", refused.RetryAfter),
 		journaler.Organisation(u.Organisation), journaler.Group(u.Route.Group), journaler.F("route-kind", u.Route.Kind),
 		journaler.F("writes", u.Writes), journaler.F("waited", now.Sub(u.Began)), journaler.F("tried", tried),
 		journaler.Primary(primary), journaler.Term(term), journaler.F("primary-known", known),
 		journaler.F("vouched-for", d.Observer.Confirmed(u.Route.Group).Sub(now))}, u.trace.fields()...)...)
-	return refuse(phraser.Busy, coder.QueueTimeout, why)
+	a := refuse(phraser.Busy, coder.QueueTimeout, refused.Reason)
+	a.RetryAfter = refused.RetryAfter
+	return a
 }
 
 // place decides where a statement runs and which position the log must hold
-// there. It waits while that can't be decided; why tells that it gave up.
-func (d *Dispatcher) place(ctx context.Context, now time.Time, u Unit, tried []string) (i observer.Instance, after tracker.Position, why string) {
+// there. It waits for what the statement lacks as long as that may come in time;
+// any other decision than to proceed refuses the statement.
+func (d *Dispatcher) place(ctx context.Context, now time.Time, u Unit, tried []string) (at placement, refused decider.Decision) {
 	for {
-		need := observer.Need{Group: u.Route.Group, Lead: u.leads(), Tried: tried}
-		why = "the primary is not known"
-		if !need.Lead {
-			after, why = d.requirement(ctx, now, u)
-			need.After = after
-		}
-		if u.Writes && !d.Observer.Opened(now, u.Route.Group) {
-			why = "the primary is not open for writes yet"
-		} else if need.Lead || why == "" {
-			if i, ok := d.Observer.Choose(now, need); ok {
-				return i, after, ""
-			}
-			if len(tried) > 0 && !need.Lead {
-				return d.place(ctx, now, u, nil)
-			}
+		changed := d.Observer.Changed(u.Route.Group)
+		at, lacks := d.look(now, u, tried)
+		unit := decider.Unit{Lacks: lacks, Deadline: u.Began.Add(u.Route.Timeout), Target: u.Route.Target}
+		decision := decider.Decide(now, unit, d.believe(now, u.Route.Group), rand.Float64())
+		if decision.Verdict == decider.Proceed {
+			return at, decision
 		}
-		if need.Lead {
-			tried = nil
-			d.askUnknown(u.Route.Group)
+		asked := d.askFor(u.Route.Group, lacks)
+		if decision.Verdict == decider.Refuse {
+			return placement{}, decision
 		}
-		if !clocker.Sleep(ctx, pollEvery) {
-			return i, after, why
+		if !await(ctx, changed, asked, decision.Until.Sub(now)) {
+			return placement{}, decider.Decision{Verdict: decider.Refuse, Reason: decision.Reason}
 		}
 		now = d.Clock.Now()
 	}
 }
 
-// requirement returns the position that a replica must hold for a read.
-func (d *Dispatcher) requirement(ctx context.Context, now time.Time, u Unit) (p tracker.Position, why string) {
-	limit := u.Began.Add(stalenessMargin - u.Route.Staleness)
-	p, ok := d.Observer.Watermark(u.Route.Group, limit)
-	if !ok {
-		d.awaitRound(ctx, u.Route.Group)
-		if p, ok = d.Observer.Watermark(u.Route.Group, limit); !ok {
-			return p, "no position of the primary is recent enough"
+// await waits for a change, the end of a round of questions or the end of a
+// time, and reports whether ctx is still alive.
+func await(ctx context.Context, changed, asked <-chan struct{}, most time.Duration) bool {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-asked:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// placement is where a statement runs.
+type placement struct {
+	instance observer.Instance
+	// after is the position that the log must hold there.
+	after tracker.Position
+}
+
+// look looks once for a place, and returns what is missing for one.
+func (d *Dispatcher) look(now time.Time, u Unit, tried []string) (placement, decider.Lack) {
+	need := observer.Need{Group: u.Route.Group, Lead: u.leads(), Tried: tried}
+	if !need.Lead {
+		after, ok := d.requirement(now, u)
+		if !ok {
+			return placement{}, decider.Position
 		}
-	} else if d.Observer.Confirmed(u.Route.Group).Before(now.Add(-u.Route.Staleness / 2)) {
+		need.After = after
+	}
+	switch {
+	case u.Writes && !d.Observer.Opened(now, u.Route.Group):
+		return placement{}, decider.Opening
+	case need.Lead && !d.Observer.SilentSince(now, u.Route.Group).IsZero():
+		return placement{}, decider.Answers
+	}
+	i, ok := d.Observer.Choose(now, need)
+	if !ok && len(tried) > 0 {
+		need.Tried = nil
+		i, ok = d.Observer.Choose(now, need)
+	}
+	switch {
+	case ok:
+		return placement{instance: i, after: need.After}, decider.Nothing
+	case need.Lead:
+		return placement{}, decider.Leader
+	default:
+		return placement{}, decider.Instance
+	}
+}
+
+// believe returns what is taken for true of the primary of a group.
+func (d *Dispatcher) believe(now time.Time, group string) decider.Belief {
+	b := decider.Belief{Lost: d.Observer.SilentSince(now, group), Gap: d.Observer.Gap(group), Opens: d.Observer.OpensAt(now, group)}
+	_, _, known := d.Observer.Primary(group)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known {
+		delete(d.missed, group)
+		return b
+	}
+	if d.missed[group].IsZero() {
+		d.missed[group] = now
+	}
+	if b.Lost.IsZero() {
+		b.Lost = d.missed[group]
+	}
+	return b
+}
+
+// askFor asks the instances of a group for what a unit lacks, and returns what is
+// closed when they have answered; nil if they cannot tell.
+func (d *Dispatcher) askFor(group string, lacks decider.Lack) <-chan struct{} {
+	switch lacks {
+	case decider.Position, decider.Answers:
+		return d.ask(group).done
+	case decider.Leader:
+		if _, _, ok := d.Observer.Primary(group); !ok || d.Observer.Unlisted(group) {
+			return d.ask(group).done
+		}
+	}
+	return nil
+}
+
+// requirement returns the position that a replica must hold for a read; ok is
+// false while none is known that is recent enough.
+func (d *Dispatcher) requirement(now time.Time, u Unit) (p tracker.Position, ok bool) {
+	p, ok = d.Observer.Watermark(u.Route.Group, u.Began.Add(stalenessMargin-u.Route.Staleness))
+	if !ok {
+		return p, false
+	}
+	if d.Observer.Confirmed(u.Route.Group).Before(now.Add(-u.Route.Staleness / 2)) {
 		d.Ask(u.Route.Group)
 	}
 	_, term, _ := d.Observer.Primary(u.Route.Group)
-	return require(u, p, term), ""
+	return require(u, p, term), true
 }
 
 // require returns the position that a read needs, given a watermark of the
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -139,7 +139,7 @@
 		t.d.Observer.Begin(t.at)
 		a, err := t.d.exchange(ctx, sent, t.at, t.link, s)
 		again := err == nil && a.State == phraser.InTransaction && (a.Result == phraser.Busy || a.Result == phraser.Unprepared)
-		if !again || !clocker.Sleep(ctx, pollEvery) {
+		if !again || !clocker.Sleep(ctx, pauseBetweenAttempts) {
 			return a, err
 		}
 	}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -73,6 +73,7 @@
 				went = append(went, s.Instance)
 			}
 		}
+		g.notify()
 	}
 	return came, went, turned
 }
--- a/observer/primary.go
+++ b/observer/primary.go
@@ -56,6 +56,7 @@
 	if sent.After(g.confirmed) {
 		g.confirmed = sent
 	}
+	g.notify()
 }
 
 // Stuck notes that the primary did not acknowledge a commit that was sent at a time.
@@ -113,6 +114,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
+	defer g.notify()
 	switch {
 	case st.Leads && (st.Term > g.term || st.Term == g.term && i.ID != g.primary):
 		// Only one instance leads a term: another id is its new process.
@@ -175,6 +177,7 @@
 	if opened >= g.term || (superseded == 0 && !asOf.Before(g.taken)) {
 		g.opened = true
 	}
+	g.notify()
 }
 
 // Revoke ends what was vouched for the primary of a superseded term.
@@ -192,6 +195,7 @@
 	defer o.mu.Unlock()
 	if g := o.group(group); g.term == term {
 		g.opened = true
+		g.notify()
 	}
 }
 
--- a/observer/state.go
+++ b/observer/state.go
@@ -96,16 +96,33 @@
 	// stuck counts the commits in a row that were not acknowledged, the first sent at stuckSince.
 	stuck      int
 	stuckSince time.Time
+	// gap is how long it lately took to replace a lost primary; zero before.
+	gap time.Duration
+	// changed is closed at the next change that may be waited for; nil while
+	// nobody waits.
+	changed chan struct{}
 }
 
 // take makes an instance the primary of a later term.
 func (g *groupState) take(now time.Time, id string, term uint64) {
+	if !g.unreached.IsZero() {
+		g.learnGap(now.Sub(g.unreached))
+	}
 	g.taken, g.opened = now, false
 	g.primary, g.term, g.deposed = id, term, g.highest > term
 	g.samples = nil
 	g.confirmed = time.Time{}
 	g.unreached = time.Time{}
 	g.stuck, g.stuckSince = 0, time.Time{}
+	g.notify()
+}
+
+// learnGap notes how long it took to replace a lost primary.
+func (g *groupState) learnGap(took time.Duration) {
+	if g.gap == 0 {
+		g.gap = assumedGap
+	}
+	g.gap += time.Duration(gapWeight * float64(took-g.gap))
 }
 
 // addSample notes the position that the primary had reached at a time.
@@ -122,6 +139,7 @@
 	if len(g.samples) > keptSamples {
 		g.samples = append(g.samples[:0], g.samples[len(g.samples)-keptSamples:]...)
 	}
+	g.notify()
 }
 
 // outrun notes that a later term than the known one has begun.
@@ -138,6 +156,9 @@
 		s.position, s.positionAt = p, sent
 	}
 	if s.ID == g.primary && p != (tracker.Position{}) {
+		if !g.unreached.IsZero() {
+			g.notify()
+		}
 		g.unreached = time.Time{}
 		g.addSample(sent, p)
 	}
--- a/phraser/answer.go
+++ b/phraser/answer.go
@@ -1,6 +1,10 @@
 package phraser
 
-import "github.com/marigoldgauge/marigoldgauge/tracker"
+import (
+	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/tracker"
+)
 
 // Answer is the whole answer to a Statement.
 type Answer struct {
@@ -12,6 +16,8 @@
 	Result Result
 	// Detail explains a result other than Done.
 	Detail string
+	// RetryAfter is when a refused caller should come back; zero when it is not known.
+	RetryAfter time.Duration
 	// State is the state of the session after the answer.
 	State State
 	// Position is where the log of the instance stood; zero when it is not known.
