feat: organisations take turns in the line for connections

Cause: the line went by priority and then by arrival, so on the platform an organisation had no fair part of a group's slots, as it has over PostgreSQL: while one sent twenty times what the others did, 18 of 60 calls of the others were refused. Now callers of equal priority go by start-time fair queueing on the measured time for which connections are held. Test: others than the loud organisation wait for two turns at most, all are served.

--- a/connector/dialling.go
+++ b/connector/dialling.go
@@ -86,8 +86,7 @@
 	p.fullTimes = 0
 	l := &Link{Conn: conn, Organisation: w.organisation, pool: p, fresh: true, since: began, values: map[string]string{}, prepared: map[string]bool{}}
 	if n := slices.Index(p.line, w); n >= 0 {
-		p.line = slices.Delete(p.line, n, n+1)
-		w.result <- result{link: l}
+		p.serve(n, l)
 		p.pump(now)
 		return
 	}
--- a/connector/line.go
+++ b/connector/line.go
@@ -14,8 +14,13 @@
 	}
 	w.since, w.result = now, make(chan result, 1)
 	p.mu.Lock()
+	if len(p.line) == 0 {
+		p.turns.rest()
+	}
+	w.tag = p.turns.tag(w.organisation, p.held)
 	place := p.place(w)
 	if p.closed || (w.within > 0 && p.wait(place) > w.within) {
+		p.turns.correct(w.organisation, -p.held)
 		p.mu.Unlock()
 		return nil, ErrNoRoom
 	}
@@ -33,7 +38,7 @@
 // place returns where in line a waiter goes. The lock is held.
 func (p *Pool) place(w *waiter) int {
 	n := len(p.line)
-	for n > 0 && p.line[n-1].priority > w.priority {
+	for n > 0 && w.before(p.line[n-1]) {
 		n--
 	}
 	return n
@@ -94,7 +99,9 @@
 func (p *Pool) release(now time.Time, l *Link, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held += time.Duration(heldWeight * float64(now.Sub(l.since)-p.held))
+	held := now.Sub(l.since)
+	p.turns.correct(l.Organisation, held-p.held)
+	p.held += time.Duration(heldWeight * float64(held-p.held))
 	if !reusable || p.closed {
 		p.discard(l)
 		p.pump(now)
@@ -107,9 +114,7 @@
 func (p *Pool) pass(now time.Time, l *Link) {
 	l.fresh, l.since = false, now
 	if n := p.next(now, l.Organisation); n >= 0 {
-		w := p.line[n]
-		p.line = slices.Delete(p.line, n, n+1)
-		w.result <- result{link: l}
+		p.serve(n, l)
 		return
 	}
 	if len(p.line) > 0 || p.open > p.bounds.Share || p.closed {
@@ -121,6 +126,14 @@
 	p.idle = append(p.idle, l)
 }
 
+// serve gives a connection to the caller at a place in line. The lock is held.
+func (p *Pool) serve(n int, l *Link) {
+	w := p.line[n]
+	p.line = slices.Delete(p.line, n, n+1)
+	p.turns.serve(w.tag)
+	w.result <- result{link: l}
+}
+
 // next returns who in line gets a connection of an organisation, or -1. The
 // first in line is overtaken for a moment only. The lock is held.
 func (p *Pool) next(now time.Time, organisation string) int {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -61,6 +61,7 @@
 	fullUntil time.Time
 	retry     *time.Timer
 	line      []*waiter
+	turns     fairness
 	held      time.Duration
 	closed    bool
 	opened    uint64
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -252,3 +252,61 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<=", handshake+2*time.Millisecond))
 	})
 }
+
+// While one organisation sends twenty times what the others send, and more than
+// the instance can take, the others wait for no longer than for its turn and
+// theirs; first come, first served they would wait for all that it sent.
+func TestOneOrganisationDoesNotMakeOthersWait(t *testing.T) {
+	const (
+		work   = 10 * time.Millisecond
+		within = 2 * time.Second
+		others = 3
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		i := &instance{most: 1}
+		p := newPool(i, 1)
+		defer p.Wait()
+		defer p.Close()
+		var mu sync.Mutex
+		longest := map[bool]time.Duration{}
+		served := map[bool]int{}
+		var group errgroup.Group
+		call := func(organisation string, loud bool) {
+			group.Go(func() error {
+				began := time.Now()
+				l, err := p.Acquire(t.Context(), organisation, 1, within)
+				waited := time.Since(began)
+				if err == nil {
+					time.Sleep(work)
+					l.Release(time.Now(), true)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				longest[loud] = max(longest[loud], waited)
+				if err == nil {
+					served[loud]++
+				}
+				return nil
+			})
+		}
+		for n := range 400 {
+			call("loud", true)
+			if n%20 == 0 {
+				for o := range others {
+					call(string(rune('a'+o)), false)
+				}
+			}
+			time.Sleep(work / 2)
+		}
+		g.Expect(group.Wait()).To(Succeed())
+		// One turn is a statement of each organisation, each with a new connection.
+		turn := (others + 1) * (work + handshake)
+		g.Expect(served[false]).To(Equal(400 / 20 * others))
+		g.Expect(served[true]).To(BeNumerically(">", 50))
+		// An organisation's returning connection may be used again for a moment
+		// before it is another one's turn.
+		const overtaken = 250 * time.Millisecond
+		g.Expect(longest[false]).To(BeNumerically("<=", overtaken+2*turn))
+	})
+}
--- a/connector/waiter.go
+++ b/connector/waiter.go
@@ -8,8 +8,9 @@
 	// whoever reports that a connection of any organisation will do.
 	whoever bool
 	since   time.Time
-	// priority orders the line; 0 goes first.
+	// priority orders the line; 0 goes first. Among equals the lower tag does.
 	priority int
+	tag      time.Duration
 	// within is the time in which it needs the connection; 0 sets no bound.
 	within time.Duration
 	result chan result
@@ -25,3 +26,11 @@
 func (w *waiter) takes(organisation string) bool {
 	return w.whoever || w.organisation == organisation
 }
+
+// before reports whether a waiter goes before another one that came earlier.
+func (w *waiter) before(o *waiter) bool {
+	if w.priority != o.priority {
+		return w.priority < o.priority
+	}
+	return w.tag < o.tag
+}
