fix: a VM that has just handed a pool over takes it again without a long pause

Cause of the known red (TestFailoverGap/campusweg_alone=false, 3.121 s, seed 5): not the failover, which took 1.77 s, but the heal of the cut. The VM that came back took its pool, handed it over when another roster had it elsewhere, and was named the owner again; but its attempt before, which had succeeded, had been noted with the pause of 3 s that is meant for failed ones, so that all sent writes to a VM that did not take the pool (8.896 to 12.041 s). Ruled out: the coordinator's change (it is the cut-off VM's own view), the promotion (done 1.34 s after the cut), a lack of writes. Test: seed 5 is a regression case that every run plays.

--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -18,6 +18,12 @@
 // seeds is the number of seeds of a measurement.
 var seeds = flag.Int("seeds", 3, "number of seeds of a measurement")
 
+// failoverRegressions are seeds that once broke the bound of the gap.
+//
+// 5: after the cut had healed, the VM that came back handed the pool over again
+// and then paused for 3 s before it took it, while all took it for the owner.
+var failoverRegressions = []int{5}
+
 // answerWithin bounds the time to a final answer: the wait before a request
 // starts (4 s), the wait for its confirmation (3 s) and a second for the way.
 const answerWithin = 8 * time.Second
@@ -59,6 +65,20 @@
 	}
 }
 
+// failoverSeeds returns the seeds of a measurement and those that once failed.
+func failoverSeeds() []int {
+	var out []int
+	for seed := range *seeds {
+		out = append(out, seed)
+	}
+	for _, seed := range failoverRegressions {
+		if seed >= *seeds {
+			out = append(out, seed)
+		}
+	}
+	return out
+}
+
 func TestFailoverGap(t *testing.T) {
 	tests := []struct {
 		deployment string
@@ -71,7 +91,7 @@
 			t.Parallel()
 			g := NewWithT(t)
 			var gaps []time.Duration
-			for seed := range *seeds {
+			for _, seed := range failoverSeeds() {
 				f := run(t, demonstrator.Options{Deployment: tt.deployment, For: 8 * time.Second, Failover: true, Alone: tt.alone, Seed: uint64(seed)})
 				g.Expect(f.Broken()).To(BeFalse(), "seed %d", seed)
 				g.Expect(f.Longest).To(BeNumerically("<=", answerWithin), "seed %d", seed)
@@ -79,7 +99,7 @@
 				gaps = append(gaps, f.Gap)
 			}
 			slices.Sort(gaps)
-			t.Logf("%s alone=%t seeds=%d p50=%s worst=%s", tt.deployment, tt.alone, *seeds,
+			t.Logf("%s alone=%t seeds=%d p50=%s worst=%s", tt.deployment, tt.alone, len(gaps),
 				gaps[len(gaps)/2].Round(time.Millisecond), gaps[len(gaps)-1].Round(time.Millisecond))
 			if tt.alone {
 				g.Expect(gaps[len(gaps)/2]).To(BeNumerically("<=", time.Second))
--- a/pooler/manager.go
+++ b/pooler/manager.go
@@ -130,6 +130,10 @@
 		if p.Unfit(now) {
 			unfit = append(unfit, name)
 		}
+		if p.State() == Owning {
+			// Only an attempt that failed is followed by a longer pause.
+			m.notUntil[name] = now.Add(takeBackoff)
+		}
 		owner, ok := roster.Owner(name, nil)
 		if !ok || owner.ID != m.vm || p.State() != Standby || now.Before(m.notUntil[name]) {
 			continue
