--- a/connector/bounds.go
+++ b/connector/bounds.go
@@ -17,7 +17,6 @@
 // keptFree is the part of an instance's connections that all shares together
 // leave free. An instance keeps the connections of VMs that lost power for
 // seconds; without room beside them nobody is served after an outage of all VMs.
-// A third is the smallest part that gave all of the gain on both users' sites.
 const keptFree = 1.0 / 3
 
 const (
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -22,7 +22,7 @@
 func TestDecide(t *testing.T) {
 	lost := decider.Belief{Lost: start, Gap: gap}
 	serves := decider.Belief{Gap: gap}
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	tests := []struct {
 		name   string
 		now    time.Duration
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -4,10 +4,10 @@
 // One part of each rate is split: every VM tells the others how much each
 // organisation asks of it, and its share is its part of that demand. A VM that
 // is not heard keeps the share that it was last known to have until it is known
-// to be gone. The other part is kept whole by one VM, the lender, and lent token
-// by token to VMs that run short, so that a small organisation need not spread
-// its rate over buckets of one token. A lender that hears only some of the VMs
-// lends in proportion to those, so two lenders that do not hear each other
+// to be gone. The other part is kept by one VM of each region, the lenders, and
+// lent token by token to VMs that run short, so that a small organisation need
+// not spread its rate over buckets of one token. A lender that hears only some of
+// the VMs lends in proportion to those, so lenders that do not hear each other
 // never lend more than the part.
 package sharer
 
@@ -23,7 +23,7 @@
 	// small organisations, short against the window in which rates are counted.
 	demandOver = 2 * time.Second
 	// lentPart is the part of a rate that is lent: small enough that the split
-	// part serves alone while the lender is silent.
+	// part serves alone while the lenders are silent.
 	lentPart = 0.6
 	// evenPart is the part of a rate that is shared evenly whatever the demand,
 	// so that the first requests at another VM need not wait for news.
@@ -151,7 +151,7 @@
 	limit := a.whole.Scale(s.lent() * s.heard * part)
 	limit.Burst = max(limit.Burst, 1)
 	if a.lent == nil {
-		// The lender before may have lent its whole burst just now.
+		// The VM that lent before may have lent its whole burst just now.
 		a.lent = limiter.NewBucket(now, limit, 0)
 		return
 	}
