--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/coder"
@@ -19,13 +20,18 @@
 	defer func() { u.trace.admission = d.Clock.Now().Sub(began) }()
 	d.Sharer.Ask(u.Organisation)
 	wait, ok := d.Sharer.Admit(d.Clock.Now(), u.Organisation, 0)
+	lent := time.Duration(0)
 	if !ok {
 		wait, ok = d.Borrower.Borrow(ctx, u.Organisation, longest)
+		lent = wait
 	}
 	if !ok {
 		wait, ok = d.Sharer.Admit(d.Clock.Now(), u.Organisation, longest)
 	}
 	if !ok {
+		if lent > 0 {
+			wait = min(wait, lent)
+		}
 		share, demand := d.Sharer.Share(u.Organisation)
 		d.Sharer.Refused(u.Organisation)
 		d.Journal.Request("refuse", u.Statement.ID, journaler.Code(coder.OverRate), journaler.Organisation(u.Organisation), journaler.F("route-kind", u.Route.Kind),
