--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -71,7 +71,7 @@
 
 	mu      sync.Mutex
 	nonce   uint64
-	pending map[uint64]chan answer
+	pending map[uint64]*inquiry
 	// ranked are the lenders by organisation as of a generation of the fleet.
 	generation uint64
 	ranked     map[string][]lender
@@ -91,7 +91,7 @@
 // the region of one.
 func New(name, zone string, region func(availabilityZone string) string, s *sharer.Sharer, c clocker.Clock) *Borrower {
 	return &Borrower{
-		name: name, zone: zone, region: region, sharer: s, clock: c, pending: map[uint64]chan answer{}, ranked: map[string][]lender{},
+		name: name, zone: zone, region: region, sharer: s, clock: c, pending: map[uint64]*inquiry{}, ranked: map[string][]lender{},
 		silentUntil: map[netip.AddrPort]time.Time{}, emptyUntil: map[account]time.Time{},
 	}
 }
@@ -229,8 +229,7 @@
 	if l.self {
 		return b.sharer.Lend(b.clock.Now(), organisation, longest)
 	}
-	nonce, ch := b.register()
-	defer b.forget(nonce)
+	nonce, ch := b.register(b.clock.Now(), l)
 	q, err := cbor.Marshal(question{Nonce: nonce, Organisation: organisation, Longest: longest})
 	if err != nil {
 		panic(err)
@@ -249,23 +248,33 @@
 	return 0, false
 }
 
+// inquiry is a question that was sent.
+type inquiry struct {
+	to   netip.AddrPort
+	sent time.Time
+	ch   chan answer
+}
+
+const (
+	// keptInquiries is the number of questions above which those without an answer
+	// are dropped once they are older than inquiryAge.
+	keptInquiries = 1024
+	inquiryAge    = 2 * time.Second
+)
+
 // register returns the nonce of a new question and where its answer arrives.
-func (b *Borrower) register() (uint64, chan answer) {
+func (b *Borrower) register(now time.Time, to lender) (uint64, chan answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.pending) >= keptInquiries {
+		maps.DeleteFunc(b.pending, func(_ uint64, i *inquiry) bool { return now.Sub(i.sent) > inquiryAge })
+	}
 	b.nonce++
 	ch := make(chan answer, 1)
-	b.pending[b.nonce] = ch
+	b.pending[b.nonce] = &inquiry{to: to.address, sent: now, ch: ch}
 	return b.nonce, ch
 }
 
-// forget drops a question.
-func (b *Borrower) forget(nonce uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.pending, nonce)
-}
-
 // Answer answers the question of another VM; nil is no answer.
 func (b *Borrower) Answer(now time.Time, raw []byte) []byte {
 	var q question
@@ -281,7 +290,8 @@
 	return out
 }
 
-// Hear takes the answer of the lender.
+// Hear takes the answer of a lender. One that comes too late for its operation
+// still shows that the lender answers.
 func (b *Borrower) Hear(_ time.Time, raw []byte) {
 	var a answer
 	if cbor.Unmarshal(raw, &a) != nil {
@@ -289,11 +299,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ch := b.pending[a.Nonce]; ch != nil {
-		// A datagram may arrive twice.
-		select {
-		case ch <- a:
-		default:
-		}
+	// A datagram may arrive twice.
+	if i := b.pending[a.Nonce]; i != nil {
+		delete(b.pending, a.Nonce)
+		delete(b.silentUntil, i.to)
+		i.ch <- a
 	}
 }
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -26,6 +26,8 @@
 	n      int
 	others []*vm
 	silent bool
+	// slow is how long it takes to answer.
+	slow time.Duration
 	// asked counts the questions that reached it.
 	asked    atomic.Int64
 	sharer   *sharer.Sharer
@@ -60,6 +62,7 @@
 		if !o.silent {
 			v.group.Go(func() error {
 				time.Sleep(8 * time.Millisecond)
+				time.Sleep(o.slow)
 				answer := o.borrower.Answer(time.Now(), question)
 				time.Sleep(8 * time.Millisecond)
 				v.borrower.Hear(time.Now(), answer)
@@ -215,6 +218,29 @@
 	})
 }
 
+// A lender that answers late, as one that has just started, is asked again.
+func TestLateLenderIsNotPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		vms := newFleet(false)
+		time.Sleep(time.Second)
+		_, others := parts(vms)
+		asker := others[0]
+		for _, v := range vms {
+			v.slow = 60 * time.Millisecond
+		}
+		_, ok := asker.borrower.Borrow(t.Context(), organisation, 0)
+		g.Expect(ok).To(BeFalse())
+		g.Expect(asker.group.Wait()).To(Succeed())
+		for _, v := range vms {
+			v.slow = 0
+		}
+		_, ok = asker.borrower.Borrow(t.Context(), organisation, 0)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(asker.group.Wait()).To(Succeed())
+	})
+}
+
 func TestSilentLenders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
