--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -10,10 +10,10 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldgauge/marigoldgauge/clocker"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 )
@@ -44,16 +44,14 @@
 // catchUp fetches what other VMs know later: this one may leave the store alone,
 // or be turned away by it.
 func (p *Proxy) catchUp(ctx context.Context) error {
-	ticker := time.NewTicker(catchUpAfter)
-	defer ticker.Stop()
 	behind := gossiper.Message{}
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
+	pause := catchUpAtOnce
+	for clocker.Sleep(ctx, pause) {
 		own := p.Catalogue.Version()
+		pause = catchUpAfter
+		if own == 0 {
+			pause = catchUpAtOnce
+		}
 		alive := slices.Clone(p.Gossiper.Alive(p.Parts.Clock.Now()))
 		// Any of those that know it will do, so that not all ask the same.
 		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
@@ -76,6 +74,7 @@
 		}
 		behind.Version, behind.Listing = version.Version, list.Listing
 	}
+	return nil
 }
 
 // trusts reports whether to take what another VM knows. A process that has just
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -31,6 +31,9 @@
 	// catchUpAfter is how long a later configuration that another VM told of is
 	// waited for from the store, before it is fetched from that VM.
 	catchUpAfter = 300 * time.Millisecond
+	// catchUpAtOnce is how often a process without a configuration looks whether
+	// another VM has one: it serves nobody meanwhile.
+	catchUpAtOnce = 50 * time.Millisecond
 	// fetchWithin bounds a fetch from another VM: a configuration of a megabyte,
 	// packed to a tenth, to ten VMs at once over a link of 10 Mbit/s.
 	fetchWithin = 2 * time.Second
