fix: a lost primary that commits without a replica is told to step down before it is replaced

Cause: since a lost primary is no longer waited for, one of a group without synchronous replicas that is slow, but alive, might acknowledge writes of VMs that reach it for a moment after its successor was named. Where commits wait for a replica, all of which are stopped, it cannot. Test: the successor is named only after the question to step down has failed.

--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -119,7 +119,7 @@
 		return a, err
 	}
 	d.Observer.End(now, sent, i, a)
-	if a.Result == phraser.Done && commits(u, s.Kind) && d.syncs(i.Group) {
+	if a.Result == phraser.Done && commits(u, s.Kind) && d.Syncs(i.Group) {
 		d.Observer.Committed(sent, i)
 	}
 	if a.Result == phraser.Unprepared && s.Kind == phraser.Execute {
@@ -133,8 +133,8 @@
 	return u.Writes && (k == phraser.Write || k == phraser.Execute || k == phraser.Commit)
 }
 
-// syncs reports whether a commit of a group waits for a replica.
-func (d *Dispatcher) syncs(group string) bool {
+// Syncs reports whether a commit of a group waits for a replica.
+func (d *Dispatcher) Syncs(group string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.groups[group].SyncReplicas > 0
--- a/switcher/parts.go
+++ b/switcher/parts.go
@@ -18,6 +18,8 @@
 	Control(ctx context.Context, i observer.Instance, s phraser.Statement) (phraser.InstanceStatus, error)
 	// Ask asks the instances of a group what they are.
 	Ask(group string)
+	// Syncs reports whether a commit of a group waits for a replica.
+	Syncs(group string) bool
 }
 
 // Fleet knows the other VMs.
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -70,7 +70,7 @@
 		s.Announcer.Announce(ctx, written, record)
 		return nil
 	})
-	former, replicas := s.stop(ctx, instances, formerID, term, v == Lost)
+	former, replicas := s.stop(ctx, instances, formerID, term, v == Lost && s.Controller.Syncs(group))
 	next, ok := Elect(former, replicas)
 	if !ok {
 		s.release(ctx, replicas)
@@ -122,9 +122,9 @@
 }
 
 // stop keeps the former primary from acknowledging anything, and returns what the
-// instances said. A primary that is lost is told as well, but once all replicas
-// are stopped it is not waited for.
-func (s *Switcher) stop(ctx context.Context, instances []observer.Instance, formerID string, term uint64, lost bool) (*Witness, []Witness) {
+// instances said. One that is lost and commits nothing without a replica is told as
+// well, but not waited for once all replicas are stopped.
+func (s *Switcher) stop(ctx context.Context, instances []observer.Instance, formerID string, term uint64, harmless bool) (*Witness, []Witness) {
 	stepped := make(chan *Witness, 1)
 	s.group.Go(func() error {
 		var w *Witness
@@ -135,7 +135,7 @@
 		return nil
 	})
 	replicas := s.survey(ctx, others(instances, formerID), phraser.Statement{Kind: phraser.Pause, Term: term})
-	if lost && len(replicas) > 0 && allAnswered(replicas) {
+	if harmless && len(replicas) > 0 && allAnswered(replicas) {
 		return nil, replicas
 	}
 	return <-stepped, replicas
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -35,6 +35,8 @@
 	promoted time.Time
 	// stopped are the replicas that no longer receive.
 	stopped map[string]bool
+	// alone reports that the primary commits without a replica.
+	alone bool
 	// storeLost reports that the store does not answer this VM.
 	storeLost bool
 	reached   []error
@@ -63,6 +65,8 @@
 
 func (g *group) Ask(string) {}
 
+func (g *group) Syncs(string) bool { return !g.alone }
+
 func (g *group) Alive(time.Time) []gossiper.Peer { return nil }
 
 func (g *group) Generation(time.Time) uint64 { return 1 }
@@ -154,6 +158,17 @@
 	})
 }
 
+// A primary that commits without a replica may still acknowledge writes of VMs that
+// reach it, so that it is told to step down first.
+func TestPrimaryThatCommitsAloneIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		g := &group{alone: true}
+		failed := fail(t, g, 3*time.Second)
+		w.Expect(g.promoted.Sub(failed)).To(BeNumerically(">=", 500*time.Millisecond+controlWithin))
+	})
+}
+
 // A VM that cannot reach the store says so before it would have to act, so that
 // another one acts in its place.
 func TestStoreIsTriedOnFirstSuspicion(t *testing.T) {
