--- a/decider/belief.go
+++ b/decider/belief.go
@@ -19,7 +19,7 @@
 		return time.Time{}, false
 	}
 	at = b.Lost.Add(b.Gap)
-	if overdue := now.Add(b.Gap / patience); at.Before(overdue) {
+	if overdue := now.Add(b.Gap / overdueShare); at.Before(overdue) {
 		at = overdue
 	}
 	return at, true
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -8,9 +8,9 @@
 
 import "time"
 
-// patience is the part of the usual gap for which a successor is expected yet
+// overdueShare is the part of the usual gap for which a successor is expected yet
 // that is overdue.
-const patience = 4
+const overdueShare = 4
 
 // Decide tells what becomes of a unit at now. spread, from 0 to 1, keeps those
 // who are refused together from coming back together.
