fix: a VM that is late with a configuration is not waited for alone

Now another VM is asked once one is late by 800 ms, two at a time at most. What is fetched is put in force one after the other, as it may now come from two.

--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -44,33 +44,36 @@
 // catchUp fetches what other VMs know later: this one may leave the store alone,
 // or be turned away by it.
 func (p *Proxy) catchUp(ctx context.Context) error {
+	var under fetches
+	defer func() { _ = under.group.Wait() }()
 	behind := gossiper.Message{}
 	pause := catchUpAtOnce
 	for clocker.Sleep(ctx, pause) {
+		now := p.Parts.Clock.Now()
 		own := p.Catalogue.Version()
 		pause = catchUpAfter
 		if own == 0 {
 			pause = catchUpAtOnce
 		}
-		alive := slices.Clone(p.Gossiper.Alive(p.Parts.Clock.Now()))
+		alive := slices.Clone(p.Gossiper.Alive(now))
 		// Any of those that know it will do, so that not all ask the same.
 		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 		listed := p.State.listing.Load()
 		var version, list gossiper.Peer
 		for _, peer := range alive {
-			if peer.Version > max(own, version.Version) && p.trusts(peer, own > 0) {
+			if peer.Version > max(own, version.Version) && p.trusts(peer, own > 0) && under.may(now, source{cataloguePath, peer.Name}) {
 				version = peer
 			}
-			if peer.Listing > max(listed, list.Listing) && p.trusts(peer, listed > 0) {
+			if peer.Listing > max(listed, list.Listing) && p.trusts(peer, listed > 0) && under.may(now, source{listingPath, peer.Name}) {
 				list = peer
 			}
 		}
 		holds := !p.State.watches.Load()
 		if version.Version > 0 && (holds || own == 0 || version.Version == behind.Version) {
-			p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version))
+			under.start(now, source{cataloguePath, version.Name}, func() { p.note("catch-up-failed", version.Name, p.fetchCatalogue(ctx, version)) })
 		}
 		if list.Listing > 0 && (holds || listed == 0 || list.Listing == behind.Listing) {
-			p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list))
+			under.start(now, source{listingPath, list.Name}, func() { p.note("catch-up-failed", list.Name, p.fetchListing(ctx, list)) })
 		}
 		behind.Version, behind.Listing = version.Version, list.Listing
 	}
--- a/assembler/following.go
+++ b/assembler/following.go
@@ -117,6 +117,9 @@
 		p.Journal.Belief("configuration-refused", journaler.Err(err), journaler.Source(source))
 		return
 	}
+	// A later configuration that comes meanwhile is put in force after this one.
+	p.State.taking.Lock()
+	defer p.State.taking.Unlock()
 	if !p.Catalogue.Take(p.Parts.Clock.Now(), c) {
 		return
 	}
@@ -165,6 +168,8 @@
 
 // takeListing takes the list of instances, unless a later one is known.
 func (p *Proxy) takeListing(l *listing) {
+	p.State.taking.Lock()
+	defer p.State.taking.Unlock()
 	if l.Revision < p.State.seen.Load() {
 		return
 	}
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +57,9 @@
 	incarnation uint64
 	started     time.Time
 	instances   atomic.Bool
-	storeLost   atomic.Bool
+	// taking is held while a configuration or a list of instances is put in force.
+	taking    sync.Mutex
+	storeLost atomic.Bool
 	// storeRegained is when the store last answered again, in Unix nanoseconds.
 	storeRegained atomic.Int64
 	roll          *observer.Roll
