--- a/assembler/following.go
+++ b/assembler/following.go
@@ -30,7 +30,7 @@
 	beginAlone = 1500 * time.Millisecond
 	// catchUpAfter is how long a later configuration that another VM told of is
 	// waited for from the store, before it is fetched from that VM.
-	catchUpAfter = 300 * time.Millisecond
+	catchUpAfter = 150 * time.Millisecond
 	// catchUpAtOnce is how often a process without a configuration looks whether
 	// another VM has one: it serves nobody meanwhile.
 	catchUpAtOnce = 50 * time.Millisecond
