--- a/assembler/catchingup.go
+++ b/assembler/catchingup.go
@@ -61,10 +61,10 @@
 		listed := p.State.listing.Load()
 		var version, list gossiper.Peer
 		for _, peer := range alive {
-			if peer.Version > max(own, version.Version) && p.trusts(peer, own > 0) && under.may(now, source{cataloguePath, peer.Name}) {
+			if peer.Version > max(own, version.Version) && p.trusts(peer, own > 0) && under.may(now, peer.Heard, source{cataloguePath, peer.Name}) {
 				version = peer
 			}
-			if peer.Listing > max(listed, list.Listing) && p.trusts(peer, listed > 0) && under.may(now, source{listingPath, peer.Name}) {
+			if peer.Listing > max(listed, list.Listing) && p.trusts(peer, listed > 0) && under.may(now, peer.Heard, source{listingPath, peer.Name}) {
 				list = peer
 			}
 		}
--- a/assembler/fetches.go
+++ b/assembler/fetches.go
@@ -29,9 +29,10 @@
 	path, vm string
 }
 
-// may reports whether to fetch from a source now: those that are asked for the
-// same are late, and are not too many.
-func (f *fetches) may(now time.Time, s source) bool {
+// may reports whether to fetch from a source that was last heard at a time: those
+// that are asked for the same are late and not too many, and it was heard since.
+// A VM that was not may be cut off like them.
+func (f *fetches) may(now, heard time.Time, s source) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	asked := 0
@@ -39,7 +40,7 @@
 		if o.path != s.path {
 			continue
 		}
-		if o.vm == s.vm || now.Sub(since) < fetchLate {
+		if o.vm == s.vm || now.Sub(since) < fetchLate || !heard.After(since) {
 			return false
 		}
 		asked++
--- a/assembler/fetches_test.go
+++ b/assembler/fetches_test.go
@@ -7,7 +7,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// One VM is asked at a time; a second one once the first is late, and no third.
+// One VM is asked at a time; once it is late a second one that was heard since,
+// and no third.
 // What else is fetched does not matter.
 func TestSecondVMIsAskedWhenTheFirstIsLate(t *testing.T) {
 	g := NewWithT(t)
@@ -17,15 +18,16 @@
 	answer := make(chan struct{})
 	hang := func() { <-answer }
 	first, second, third := source{"/catalogue", "a"}, source{"/catalogue", "b"}, source{"/catalogue", "c"}
-	g.Expect(f.may(start, first)).To(BeTrue())
+	g.Expect(f.may(start, start, first)).To(BeTrue())
 	f.start(start, first, hang)
-	g.Expect(f.may(start, second)).To(BeFalse())
-	g.Expect(f.may(start, source{"/instances", "b"})).To(BeTrue())
-	g.Expect(f.may(late, first)).To(BeFalse())
-	g.Expect(f.may(late, second)).To(BeTrue())
+	g.Expect(f.may(start, start, second)).To(BeFalse())
+	g.Expect(f.may(start, start, source{"/instances", "b"})).To(BeTrue())
+	g.Expect(f.may(late, late, first)).To(BeFalse())
+	g.Expect(f.may(late, start, second)).To(BeFalse(), "it was not heard since the first was asked")
+	g.Expect(f.may(late, late, second)).To(BeTrue())
 	f.start(late, second, hang)
-	g.Expect(f.may(late.Add(fetchLate), third)).To(BeFalse())
+	g.Expect(f.may(late.Add(fetchLate), late.Add(fetchLate), third)).To(BeFalse())
 	close(answer)
 	g.Expect(f.group.Wait()).To(Succeed())
-	g.Expect(f.may(late, third)).To(BeTrue())
+	g.Expect(f.may(late, late, third)).To(BeTrue())
 }
