--- a/observer/primary.go
+++ b/observer/primary.go
@@ -202,10 +202,7 @@
 // Opened reports whether the primary of a group may take writes: no VM can take
 // an earlier one for the present one any more.
 func (o *Observer) Opened(now time.Time, group string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	g := o.group(group)
-	return g.opened || now.Sub(g.taken) > OpenAfter
+	return o.OpensAt(now, group).IsZero()
 }
 
 const (
