perf: leases and views of primaries no longer visit all groups

Cause: each notice of a relay and each response with the record sorted the names of all groups and renewed the lease of each, and each message and check of the switcher built a view of each group: at 100 VMs and 1,300 groups half of the processor time of a quiet VM. Change: the fleet's record is applied once; a group takes it over when it is next used, and waiting units are woken at once. Views visit active groups only. The Observer and the list of instances take changes instead of whole lists.

--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -82,9 +82,7 @@
 // publish to VMs that know the others.
 func (n *gossipHandler) groups(now time.Time, all bool) []publisher.Group {
 	contested := n.gossiper.Contested(now)
-	views := n.Observer.PrimaryViews(now, func(v *observer.PrimaryView) bool {
-		return all || contested[v.Group] || v.Leaderless || !v.UnservedSince.IsZero() || publisher.IsRecent(now, v.Since, v.SampledAt)
-	})
+	views := n.primaryViews(now, all, contested)
 	leaderless := n.updateLeaderless(now, views)
 	out := make([]publisher.Group, 0, len(views))
 	for _, v := range views {
@@ -106,6 +104,16 @@
 	return out
 }
 
+// primaryViews returns the primaries of all groups, or of those that may have to be published.
+func (n *gossipHandler) primaryViews(now time.Time, all bool, contested map[string]bool) []observer.PrimaryView {
+	if all {
+		return n.Observer.PrimaryViews(now)
+	}
+	return n.Observer.ActivePrimaryViews(now, contested, func(v *observer.PrimaryView) bool {
+		return contested[v.Group] || v.Leaderless || !v.UnservedSince.IsZero() || publisher.IsRecent(now, v.Since, v.SampledAt)
+	})
+}
+
 // updateLeaderless returns the groups that have been without a known primary for
 // unreachableThreshold.
 func (n *gossipHandler) updateLeaderless(now time.Time, views []observer.PrimaryView) map[string]bool {
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -73,7 +73,8 @@
 // other VMs if it changed. changedAt is the revision of the change. The caller holds
 // applyMu.
 func (p *Proxy) applyInstances(changedAt uint64) {
-	changed := p.State.instances.Update(p.Parts.Clock.Now(), p.decodeInstances())
+	list, removed := p.decodeInstances()
+	changed := p.State.instances.Update(p.Parts.Clock.Now(), list, removed)
 	p.updateInstances()
 	if changed || p.State.listingChange.Load() == 0 {
 		p.State.listingChange.Store(changedAt)
@@ -82,27 +83,35 @@
 }
 
 // decodeInstances decodes the entries of the list that changed since the last call, and
-// returns all instances. The caller holds applyMu.
-func (p *Proxy) decodeInstances() []observer.Instance {
+// returns their instances and the ids of those that are gone. The caller holds applyMu.
+func (p *Proxy) decodeInstances() (changed []observer.Instance, removed []string) {
 	objects := p.State.listing.Objects()
 	decoded := make(map[string]decodedInstance, len(objects))
-	list := make([]observer.Instance, 0, len(objects))
 	for _, o := range objects {
 		d, ok := p.State.decoded[o.Key]
 		if !ok || d.version != o.Version {
+			before := d
 			i, err := p.Parts.Adapter.DecodeInstance(o)
 			if err != nil {
 				p.Journal.LogStateChange("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
 			}
 			d = decodedInstance{version: o.Version, instance: i, valid: err == nil}
+			switch {
+			case d.valid:
+				changed = append(changed, i)
+			case before.valid:
+				removed = append(removed, before.instance.ID)
+			}
 		}
 		decoded[o.Key] = d
-		if d.valid {
-			list = append(list, d.instance)
+	}
+	for key, d := range p.State.decoded {
+		if _, ok := decoded[key]; !ok && d.valid {
+			removed = append(removed, d.instance.ID)
 		}
 	}
 	p.State.decoded = decoded
-	return list
+	return changed, removed
 }
 
 // decodedInstance is the decoded entry of an instance at a version.
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -221,8 +221,9 @@
 
 // updateInstances passes the current instances to the components.
 func (p *Proxy) updateInstances() {
-	list := p.State.instances.Instances(p.Parts.Clock.Now())
-	added, removed, changed := p.Observer.SetInstances(p.Parts.Clock.Now(), list)
+	now := p.Parts.Clock.Now()
+	updated, dropped := p.State.instances.Changes(now)
+	added, removed, changed := p.Observer.UpdateInstances(now, updated, dropped)
 	p.Dispatcher.SetInstances(added, removed)
 	if len(added) > maxInstanceLines {
 		p.Journal.LogStateChange("instances-came", journaler.F("instances", len(added)))
@@ -242,7 +243,7 @@
 		p.logInstance("instance-turned", i)
 		p.Dispatcher.RequestStatus(i.Group)
 	}
-	if len(list) > 0 {
+	if len(added) > 0 {
 		p.State.instancesKnown.Store(true)
 	}
 }
--- a/observer/changes.go
+++ b/observer/changes.go
@@ -21,15 +21,17 @@
 	g := o.group(group)
 	if g.changed == nil {
 		g.changed = make(chan struct{})
+		o.waiting[group] = g
 	}
 	return g.changed
 }
 
-// notify wakes the callers that wait for a change. The caller holds the lock.
-func (g *groupState) notify() {
+// notify wakes the callers that wait for a change of a group. The caller holds the lock.
+func (o *Observer) notify(g *groupState) {
 	if g.changed != nil {
 		close(g.changed)
 		g.changed = nil
+		delete(o.waiting, g.name)
 	}
 }
 
--- a/observer/instance_list.go
+++ b/observer/instance_list.go
@@ -15,6 +15,10 @@
 type InstanceList struct {
 	mu      sync.Mutex
 	entries map[string]*listEntry
+	// unlisted holds the entries that are missing from the platform's list.
+	unlisted map[string]*listEntry
+	// changed holds the entries that were added or changed since the last call of Changes.
+	changed []*listEntry
 }
 
 // listEntry is an instance with the time from which it is missing from the list; zero
@@ -22,31 +26,49 @@
 type listEntry struct {
 	Instance
 	unlistedAt time.Time
+	// isChanged reports that the entry is in the changed ones.
+	isChanged bool
 }
 
 // NewInstanceList returns an empty InstanceList.
 func NewInstanceList() *InstanceList {
-	return &InstanceList{entries: map[string]*listEntry{}}
+	return &InstanceList{entries: map[string]*listEntry{}, unlisted: map[string]*listEntry{}}
 }
 
-// Update applies the platform's list as of now, and reports whether it changes more
-// than the warm-up time left of instances.
-func (r *InstanceList) Update(now time.Time, list []Instance) (changed bool) {
+// Update applies changes of the platform's list as of now: the instances that were added or
+// changed, and the ids of those that were removed. It reports whether they change more than
+// the warm-up time left of instances.
+func (r *InstanceList) Update(now time.Time, changed []Instance, removed []string) (relevant bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listed := map[string]bool{}
-	for _, i := range list {
-		listed[i.ID] = true
-		entry := r.entries[i.ID]
-		changed = changed || entry == nil || !entry.unlistedAt.IsZero() || !entry.equalExceptWarmup(i)
-		r.entries[i.ID] = &listEntry{Instance: i}
+	for _, i := range changed {
+		e := r.entries[i.ID]
+		switch {
+		case e == nil:
+			e = &listEntry{}
+			r.entries[i.ID] = e
+			relevant = true
+		case !e.unlistedAt.IsZero():
+			e.unlistedAt, relevant = time.Time{}, true
+			delete(r.unlisted, i.ID)
+		case e.Instance == i:
+			continue
+		default:
+			relevant = relevant || !e.equalExceptWarmup(i)
+		}
+		e.Instance = i
+		if !e.isChanged {
+			e.isChanged = true
+			r.changed = append(r.changed, e)
+		}
 	}
-	for id, e := range r.entries {
-		if !listed[id] && e.unlistedAt.IsZero() {
-			e.unlistedAt, changed = now, true
+	for _, id := range removed {
+		if e := r.entries[id]; e != nil && e.unlistedAt.IsZero() {
+			e.unlistedAt, relevant = now, true
+			r.unlisted[id] = e
 		}
 	}
-	return changed
+	return relevant
 }
 
 // equalExceptWarmup reports whether two instances differ at most in the warm-up time
@@ -61,26 +83,28 @@
 func (r *InstanceList) HasUnlisted() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range r.entries {
-		if !e.unlistedAt.IsZero() {
-			return true
-		}
-	}
-	return false
+	return len(r.unlisted) > 0
 }
 
-// Instances returns the current instances. One that announced that it is about to
-// stop is dropped as soon as it is not listed.
-func (r *InstanceList) Instances(now time.Time) []Instance {
+// Changes returns the instances that were added or changed since the last call, and the
+// ids of those that are dropped as of now. An instance that announced that it is about to stop is
+// dropped as soon as it is not listed, another one after UnlistedGrace.
+func (r *InstanceList) Changes(now time.Time) (changed []Instance, removed []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Instance
-	for id, e := range r.entries {
-		if !e.unlistedAt.IsZero() && (e.Leaving || now.Sub(e.unlistedAt) >= UnlistedGrace) {
+	for id, e := range r.unlisted {
+		if e.Leaving || now.Sub(e.unlistedAt) >= UnlistedGrace {
+			delete(r.unlisted, id)
 			delete(r.entries, id)
-			continue
+			removed = append(removed, id)
+		}
+	}
+	for _, e := range r.changed {
+		e.isChanged = false
+		if r.entries[e.ID] == e {
+			changed = append(changed, e.Instance)
 		}
-		out = append(out, e.Instance)
 	}
-	return out
+	r.changed = nil
+	return changed, removed
 }
--- a/observer/instance_list_test.go
+++ b/observer/instance_list_test.go
@@ -32,10 +32,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
 			r := observer.NewInstanceList()
-			r.Update(start, []observer.Instance{a, tt.before})
-			r.Update(start.Add(time.Second), []observer.Instance{a})
-			r.Update(start.Add(time.Second+time.Millisecond), []observer.Instance{a})
-			g.Expect(r.Instances(start.Add(time.Second + tt.after))).To(HaveLen(tt.want))
+			r.Update(start, []observer.Instance{a, tt.before}, nil)
+			changed, removed := r.Changes(start)
+			g.Expect(changed).To(Equal([]observer.Instance{a, tt.before}))
+			g.Expect(removed).To(BeEmpty())
+			r.Update(start.Add(time.Second), nil, []string{"b"})
+			r.Update(start.Add(time.Second+time.Millisecond), []observer.Instance{a}, nil)
+			changed, removed = r.Changes(start.Add(time.Second + tt.after))
+			g.Expect(changed).To(BeEmpty())
+			g.Expect(2 - len(removed)).To(Equal(tt.want))
+			g.Expect(r.HasUnlisted()).To(Equal(tt.want == 2))
 		})
 	}
 }
@@ -43,10 +49,12 @@
 func TestRollKeepsInstanceListedAgain(t *testing.T) {
 	g := NewWithT(t)
 	r := observer.NewInstanceList()
-	r.Update(start, []observer.Instance{{ID: "a"}})
-	r.Update(start.Add(time.Second), nil)
-	r.Update(start.Add(2*time.Second), []observer.Instance{{ID: "a"}})
-	g.Expect(r.Instances(start.Add(time.Hour))).To(HaveLen(1))
+	r.Update(start, []observer.Instance{{ID: "a"}}, nil)
+	r.Update(start.Add(time.Second), nil, []string{"a"})
+	r.Update(start.Add(2*time.Second), []observer.Instance{{ID: "a"}}, nil)
+	changed, removed := r.Changes(start.Add(time.Hour))
+	g.Expect(changed).To(HaveLen(1))
+	g.Expect(removed).To(BeEmpty())
 }
 
 // A list in which only the warm-up time left differs must not count as a change, so
@@ -61,18 +69,19 @@
 	leaving.Leaving = true
 	steps := []struct {
 		name    string
-		list    []observer.Instance
+		update  []observer.Instance
+		removed []string
 		changed bool
 	}{
-		{"came", []observer.Instance{cold}, true},
-		{"warms up", []observer.Instance{warmer}, false},
-		{"is warm", []observer.Instance{warm}, true},
-		{"again", []observer.Instance{warm}, false},
-		{"leaves", []observer.Instance{leaving}, true},
-		{"is gone", nil, true},
-		{"still gone", nil, false},
+		{"came", []observer.Instance{cold}, nil, true},
+		{"warms up", []observer.Instance{warmer}, nil, false},
+		{"is warm", []observer.Instance{warm}, nil, true},
+		{"again", []observer.Instance{warm}, nil, false},
+		{"leaves", []observer.Instance{leaving}, nil, true},
+		{"is gone", nil, []string{"i-1"}, true},
+		{"still gone", nil, []string{"i-1"}, false},
 	}
 	for _, s := range steps {
-		g.Expect(r.Update(now, s.list)).To(Equal(s.changed), s.name)
+		g.Expect(r.Update(now, s.update, s.removed)).To(Equal(s.changed), s.name)
 	}
 }
--- a/observer/leaving_test.go
+++ b/observer/leaving_test.go
@@ -31,11 +31,11 @@
 			g := NewWithT(t)
 			o := observer.New(func(string) time.Duration { return time.Millisecond }, drain)
 			a, b := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
-			o.SetInstances(start, []observer.Instance{a, b})
+			o.UpdateInstances(start, []observer.Instance{a, b}, nil)
 			o.ObserveStatus(start, start, a, modeller.InstanceStatus{IsPrimary: true, Term: 1})
 			a.Leaving = true
-			o.SetInstances(start, []observer.Instance{a, b})
-			o.SetInstances(start.Add(tt.after), []observer.Instance{a, b})
+			o.UpdateInstances(start, []observer.Instance{a, b}, nil)
+			o.UpdateInstances(start.Add(tt.after), []observer.Instance{a, b}, nil)
 			i, ok := o.Choose(start.Add(tt.after), observer.Requirements{Group: "g", NeedsPrimary: tt.lead, Exclude: []string{"b"}})
 			g.Expect(ok).To(Equal(tt.want != ""))
 			g.Expect(i.ID).To(Equal(tt.want))
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -27,12 +27,24 @@
 
 	mu     sync.Mutex
 	groups map[string]*groupState
+	// groupOf holds the group of each instance, by id.
+	groupOf map[string]string
+	// names caches the names of the groups that have instances; nil after a change.
+	names []string
+	// active holds the groups that were used since they were last seen to be idle, and
+	// waiting those for whose change a unit of work waits.
+	active, waiting map[string]*groupState
+	// lease is the fleet's record as last applied.
+	lease fleetLease
 }
 
 // New returns an Observer without instances. Instances that announce that they are
 // about to stop accept new statements for leavingPeriod.
 func New(d ZoneLatency, leavingPeriod time.Duration) *Observer {
-	return &Observer{distance: d, leavingPeriod: leavingPeriod, groups: map[string]*groupState{}}
+	return &Observer{
+		distance: d, leavingPeriod: leavingPeriod, groups: map[string]*groupState{}, groupOf: map[string]string{},
+		active: map[string]*groupState{}, waiting: map[string]*groupState{},
+	}
 }
 
 // leavingMargin is the part at the end of the leaving period in which an instance
@@ -40,46 +52,62 @@
 // statement to the instance.
 const leavingMargin = 2 * time.Second
 
-// SetInstances applies the platform's list as of now and returns the instances that
-// were added, those that were removed, and those whose role or leaving state changed.
-func (o *Observer) SetInstances(now time.Time, list []Instance) (added, removed, changed []Instance) {
+// UpdateInstances applies changes of the platform's list as of now: the instances that were
+// added or changed, and the ids of those that were removed. It returns the instances that
+// are new to the Observer, those that left, and those whose role or leaving state changed.
+// An instance with another address, group or start time is another process: it leaves and is new.
+func (o *Observer) UpdateInstances(now time.Time, update []Instance, removals []string) (added, removed, changed []Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	listed := map[string]bool{}
-	for _, i := range list {
-		listed[i.ID] = true
+	for _, i := range update {
+		if group, ok := o.groupOf[i.ID]; ok && group != i.Group {
+			removed = append(removed, o.removeInstance(group, i.ID)...)
+		}
 		g := o.group(i.Group)
 		s := g.instances[i.ID]
 		if s != nil && (s.Address != i.Address || !s.Started.Equal(i.Started)) {
 			removed = append(removed, s.Instance)
 			s = nil
 		}
-		if s == nil {
+		switch {
+		case s == nil:
 			base := o.distance(i.AvailabilityZone)
-			s = &instanceState{Instance: i, base: base, latency: base}
-			s.updateLeavingSince(now)
-			g.instances[i.ID] = s
+			s = &instanceState{base: base, latency: base}
+			if len(g.instances) == 0 {
+				o.names = nil
+			}
+			g.instances[i.ID], o.groupOf[i.ID] = s, i.Group
 			added = append(added, i)
-			continue
-		}
-		if s.Leads != i.Leads || s.Leaving != i.Leaving {
+		case s.Leads != i.Leads || s.Leaving != i.Leaving:
 			changed = append(changed, i)
 		}
 		s.Instance = i
 		s.updateLeavingSince(now)
+		o.notify(g)
 	}
-	for _, g := range o.groups {
-		for id, s := range g.instances {
-			if !listed[id] {
-				delete(g.instances, id)
-				removed = append(removed, s.Instance)
-			}
-		}
-		g.notify()
+	for _, id := range removals {
+		removed = append(removed, o.removeInstance(o.groupOf[id], id)...)
 	}
 	return added, removed, changed
 }
 
+// removeInstance removes an instance from its group and returns it; none if it is not
+// known. The caller holds the lock.
+func (o *Observer) removeInstance(group, id string) []Instance {
+	if _, ok := o.groupOf[id]; !ok {
+		return nil
+	}
+	g := o.group(group)
+	removed := g.instances[id].Instance
+	delete(g.instances, id)
+	delete(o.groupOf, id)
+	if len(g.instances) == 0 {
+		o.names = nil
+	}
+	o.notify(g)
+	return []Instance{removed}
+}
+
 // Instances returns the instances of a group in ascending order of id.
 func (o *Observer) Instances(group string) []Instance {
 	o.mu.Lock()
@@ -92,18 +120,22 @@
 	return out
 }
 
-// Groups returns the names of the groups that have instances.
+// Groups returns the names of the groups that have instances, in ascending order. The
+// caller must not change the result.
 func (o *Observer) Groups() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var out []string
+	if o.names != nil {
+		return o.names
+	}
+	o.names = make([]string, 0, len(o.groups))
 	for name, g := range o.groups {
 		if len(g.instances) > 0 {
-			out = append(out, name)
+			o.names = append(o.names, name)
 		}
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(o.names)
+	return o.names
 }
 
 // Choose returns the instance that is expected to serve n with the lowest latency.
@@ -160,16 +192,27 @@
 	primaryReserve = 4
 )
 
-// group returns the state of a group. The caller holds the lock.
+// group returns the state of a group for use: the fleet's record as last applied is in
+// effect, and the group is active. The caller holds the lock.
 func (o *Observer) group(name string) *groupState {
 	g := o.groups[name]
 	if g == nil {
-		g = &groupState{instances: map[string]*instanceState{}}
+		g = &groupState{name: name, instances: map[string]*instanceState{}}
 		o.groups[name] = g
 	}
+	o.activate(g)
+	o.applyLease(g)
 	return g
 }
 
+// activate adds a group to the active ones. The caller holds the lock.
+func (o *Observer) activate(g *groupState) {
+	if !g.active {
+		g.active = true
+		o.active[g.name] = g
+	}
+}
+
 // BeginStatement records that a statement is being sent to an instance.
 func (o *Observer) BeginStatement(i Instance) {
 	o.mu.Lock()
@@ -199,7 +242,7 @@
 	if s == nil {
 		return
 	}
-	g.recordResponse(s, now, sent, a.Position)
+	o.recordResponse(g, s, now, sent, a.Position)
 	switch a.Result {
 	case modeller.Done:
 		s.latency += time.Duration(latencyWeight * float64(now.Sub(sent)-s.latency))
@@ -237,7 +280,7 @@
 	if s == nil {
 		return
 	}
-	g.recordResponse(s, sent, sent, a.Position)
+	o.recordResponse(g, s, sent, sent, a.Position)
 }
 
 // RecordFailure records that an instance could not be reached or did not respond.
--- a/observer/primary.go
+++ b/observer/primary.go
@@ -58,7 +58,7 @@
 	if sent.After(g.confirmed) {
 		g.confirmed = sent
 	}
-	g.notify()
+	o.notify(g)
 }
 
 // RecordUnacknowledgedCommit records that the primary did not acknowledge a commit that was sent at the
@@ -82,7 +82,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if g := o.group(group); g.primary != "" && g.term == term && !g.deposed {
-		g.addSample(at, p)
+		o.addSample(g, at, p)
 	}
 }
 
@@ -105,17 +105,17 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.group(i.Group)
-	defer g.notify()
+	defer o.notify(g)
 	switch {
 	case st.IsPrimary && (st.Term > g.term || st.Term == g.term && i.ID != g.primary):
 		// Only one instance leads a term, so another id is its restarted process.
-		g.setPrimary(now, i.ID, st.Term)
-		g.addSample(sent, st.Received)
+		o.setPrimary(g, now, i.ID, st.Term)
+		o.addSample(g, sent, st.Received)
 		return true
 	case st.IsPrimary && st.Term == g.term && i.ID == g.primary:
 		g.deposed = g.highestTerm > g.term
 		g.unreachedSince = time.Time{}
-		g.addSample(sent, st.Received)
+		o.addSample(g, sent, st.Received)
 	case st.Term > g.term:
 		g.observeLaterTerm(st.Term)
 	case i.ID == g.primary && !st.IsPrimary:
@@ -146,48 +146,17 @@
 	if term <= g.term && !restarted {
 		return false
 	}
-	g.setPrimary(now, id, term)
+	o.setPrimary(g, now, id, term)
 	return true
 }
 
-// RenewPrimaryLease applies the fleet's record as of the time asOf, which states the term of a
-// group that is superseded and the term that is open for writes. If the primary is
-// not superseded, it extends its confirmation to the time until.
-func (o *Observer) RenewPrimaryLease(now, asOf, until time.Time, group string, superseded, opened uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	g := o.group(group)
-	if g.term <= superseded {
-		if g.confirmed.After(now) {
-			g.confirmed = now
-		}
-		return
-	}
-	if !g.deposed && !asOf.Before(g.primarySince) && until.After(g.confirmed) {
-		g.confirmed = until
-	}
-	if opened >= g.term || (superseded == 0 && !asOf.Before(g.primarySince)) {
-		g.writesOpen = true
-	}
-	g.notify()
-}
-
-// RevokePrimaryLease ends at now a confirmation by RenewPrimaryLease of the primary of a superseded term.
-func (o *Observer) RevokePrimaryLease(now time.Time, group string, superseded uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if g := o.group(group); g.term <= superseded && g.confirmed.After(now) {
-		g.confirmed = now
-	}
-}
-
 // OpenWrites records that the primary of a term may accept writes.
 func (o *Observer) OpenWrites(group string, term uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if g := o.group(group); g.term == term {
 		g.writesOpen = true
-		g.notify()
+		o.notify(g)
 	}
 }
 
@@ -197,16 +166,6 @@
 	return o.WritesOpenAt(now, group).IsZero()
 }
 
-const (
-	// ViewLease is how long a VM may regard a primary as current after the time as of
-	// which the fleet's record named no successor. It is five times the interval at
-	// which the record is read.
-	ViewLease = 2 * time.Second
-	// WritesOpenAfter is the time after which no VM can hold a view lease on an earlier
-	// primary. The margin covers differences in clock rate.
-	WritesOpenAfter = ViewLease + 100*time.Millisecond
-)
-
 // UnservedSince returns the time since which the primary of a group does not serve this
 // VM: it does not respond, or acknowledges no commit. It is zero while it does.
 func (o *Observer) UnservedSince(group string) time.Time {
--- a/observer/primary_view.go
+++ b/observer/primary_view.go
@@ -34,35 +34,81 @@
 	SampledAt time.Time
 }
 
-// PrimaryViews returns the state of the primaries of the groups that have instances and
-// pass, in ascending order of group.
-func (o *Observer) PrimaryViews(now time.Time, pass func(v *PrimaryView) bool) []PrimaryView {
+// ActivePeriod is how long a group counts as active after its primary changed or was
+// sampled.
+const ActivePeriod = 5 * time.Second
+
+// PrimaryViews returns the state of the primaries of all groups that have instances, in
+// ascending order of group.
+func (o *Observer) PrimaryViews(now time.Time) []PrimaryView {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var out []PrimaryView
-	for name, g := range o.groups {
-		if len(g.instances) == 0 {
-			continue
-		}
-		v := PrimaryView{
-			Group: name, Primary: g.primary, Term: g.term, Known: g.primary != "" && !g.deposed, Since: g.primarySince, Discovered: g.discovered,
-			WritesOpen: g.writesOpenAt(now).IsZero(), UnservedSince: g.unservedSince(),
-		}
-		if s := g.instances[g.primary]; s != nil {
-			v.RespondedAt, v.Leaving = s.respondedAt, s.Leaving
+	out := make([]PrimaryView, 0, len(o.groups))
+	for _, g := range o.groups {
+		if len(g.instances) > 0 {
+			out = append(out, o.primaryView(now, g))
 		}
-		if n := len(g.samples); n > 0 {
-			v.Position, v.SampledAt = g.samples[n-1].position, g.samples[n-1].at
-		}
-		if !v.Known {
-			v.Leaderless, v.Listed = g.hasResponded(), g.hasListedPrimary()
-		}
-		if pass(&v) {
+	}
+	return sortViews(out)
+}
+
+// ActivePrimaryViews returns the state of the primaries of the active groups that have
+// instances and pass, in ascending order of group. A group is active if its primary changed or was
+// sampled in the last ActivePeriod, is superseded, does not serve this VM, is leaving or is
+// not known though it should be, or if the group is in include.
+//
+// In a large fleet nothing happens to most groups, and they are not looked at.
+func (o *Observer) ActivePrimaryViews(now time.Time, include map[string]bool, pass func(v *PrimaryView) bool) []PrimaryView {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name := range include {
+		o.group(name)
+	}
+	var out []PrimaryView
+	for name, g := range o.active {
+		v := o.primaryView(now, g)
+		if len(g.instances) > 0 && pass(&v) {
 			out = append(out, v)
 		}
+		if len(g.instances) == 0 || (v.isIdle(now) && o.lease.Superseded[name] < max(g.term, 1)) {
+			g.active = false
+			delete(o.active, name)
+		}
+	}
+	return sortViews(out)
+}
+
+// sortViews sorts views by group.
+func sortViews(views []PrimaryView) []PrimaryView {
+	slices.SortFunc(views, func(a, b PrimaryView) int { return strings.Compare(a.Group, b.Group) })
+	return views
+}
+
+// primaryView returns the state of the primary of a group. The caller holds the lock.
+func (o *Observer) primaryView(now time.Time, g *groupState) PrimaryView {
+	o.applyLease(g)
+	v := PrimaryView{
+		Group: g.name, Primary: g.primary, Term: g.term, Known: g.primary != "" && !g.deposed, Since: g.primarySince, Discovered: g.discovered,
+		WritesOpen: g.writesOpenAt(now).IsZero(), UnservedSince: g.unservedSince(),
+	}
+	if s := g.instances[g.primary]; s != nil {
+		v.RespondedAt, v.Leaving = s.respondedAt, s.Leaving
+	}
+	if n := len(g.samples); n > 0 {
+		v.Position, v.SampledAt = g.samples[n-1].position, g.samples[n-1].at
+	}
+	if !v.Known {
+		v.Leaderless, v.Listed = g.hasResponded(), g.hasListedPrimary()
+	}
+	return v
+}
+
+// isIdle reports whether a group stays as it is until it is used again.
+func (v *PrimaryView) isIdle(now time.Time) bool {
+	if !v.Known {
+		return !v.Leaderless && v.Listed
 	}
-	slices.SortFunc(out, func(a, b PrimaryView) int { return strings.Compare(a.Group, b.Group) })
-	return out
+	return !v.Leaving && v.UnservedSince.IsZero() && now.Sub(v.Since) > ActivePeriod && now.Sub(v.SampledAt) > ActivePeriod
 }
 
 // hasResponded reports whether any instance of the group has responded to this VM.
--- a/observer/restart_test.go
+++ b/observer/restart_test.go
@@ -22,19 +22,19 @@
 		want  string
 	}{
 		{"by its status", func(o *observer.Observer) bool {
-			o.SetInstances(start, []observer.Instance{restarted})
+			o.UpdateInstances(start, []observer.Instance{restarted}, []string{"a"})
 			return o.ObserveStatus(start, start, restarted, leads)
 		}, "b"},
 		{"from another VM", func(o *observer.Observer) bool {
-			o.SetInstances(start, []observer.Instance{restarted})
+			o.UpdateInstances(start, []observer.Instance{restarted}, []string{"a"})
 			return o.LearnPrimary(start, "g", "b", 1)
 		}, "b"},
 		{"from another VM, while the former is still listed", func(o *observer.Observer) bool {
-			o.SetInstances(start, []observer.Instance{former, restarted})
+			o.UpdateInstances(start, []observer.Instance{former, restarted}, nil)
 			return o.LearnPrimary(start, "g", "b", 1)
 		}, "a"},
 		{"outdated information about the former", func(o *observer.Observer) bool {
-			o.SetInstances(start, []observer.Instance{restarted})
+			o.UpdateInstances(start, []observer.Instance{restarted}, []string{"a"})
 			return o.LearnPrimary(start, "g", "b", 1) && o.LearnPrimary(start, "g", "a", 1)
 		}, "b"},
 	}
@@ -42,7 +42,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
 			o := observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)
-			o.SetInstances(start, []observer.Instance{former})
+			o.UpdateInstances(start, []observer.Instance{former}, nil)
 			g.Expect(o.ObserveStatus(start, start, former, leads)).To(BeTrue())
 			g.Expect(o.PrimaryUnlisted("g")).To(BeFalse())
 			g.Expect(tt.learn(o)).To(Equal(tt.name == "by its status" || tt.name == "from another VM"))
--- a/observer/state.go
+++ b/observer/state.go
@@ -85,6 +85,11 @@
 
 // groupState is the state of one group as this VM knows it.
 type groupState struct {
+	name string
+	// active reports that the group is in the Observer's active groups.
+	active bool
+	// leaseNumber is the number of the application of the fleet's record that is in effect.
+	leaseNumber uint64
 	instances   map[string]*instanceState
 	primary     string
 	term        uint64
@@ -111,7 +116,7 @@
 }
 
 // setPrimary records a new primary with its term.
-func (g *groupState) setPrimary(now time.Time, id string, term uint64) {
+func (o *Observer) setPrimary(g *groupState, now time.Time, id string, term uint64) {
 	if !g.unreachedSince.IsZero() {
 		g.updateFailoverGap(now.Sub(g.unreachedSince))
 	}
@@ -121,7 +126,7 @@
 	g.confirmed = time.Time{}
 	g.unreachedSince = time.Time{}
 	g.unacknowledged, g.unacknowledgedSince = 0, time.Time{}
-	g.notify()
+	o.notify(g)
 }
 
 // updateFailoverGap adds the time that it took to replace a lost primary to the mean.
@@ -133,7 +138,7 @@
 }
 
 // addSample records the position that the primary had reached at the given time.
-func (g *groupState) addSample(at time.Time, p tracker.Position) {
+func (o *Observer) addSample(g *groupState, at time.Time, p tracker.Position) {
 	if p.Term > g.term {
 		g.observeLaterTerm(p.Term)
 		return
@@ -146,7 +151,7 @@
 	if len(g.samples) > maxSamples {
 		g.samples = append(g.samples[:0], g.samples[len(g.samples)-maxSamples:]...)
 	}
-	g.notify()
+	o.notify(g)
 }
 
 // observeLaterTerm records that a term later than that of the known primary has begun.
@@ -157,16 +162,16 @@
 
 // recordResponse records that an instance responded, at the time answered, to a
 // request that was sent at the time sent, and its log position.
-func (g *groupState) recordResponse(s *instanceState, answered, sent time.Time, p tracker.Position) {
+func (o *Observer) recordResponse(g *groupState, s *instanceState, answered, sent time.Time, p tracker.Position) {
 	s.failures, s.suspectUntil, s.respondedAt = 0, time.Time{}, answered
 	if p != (tracker.Position{}) {
 		s.position, s.positionAt = p, sent
 	}
 	if s.ID == g.primary && p != (tracker.Position{}) {
 		if !g.unreachedSince.IsZero() {
-			g.notify()
+			o.notify(g)
 		}
 		g.unreachedSince = time.Time{}
-		g.addSample(sent, p)
+		o.addSample(g, sent, p)
 	}
 }
--- a/observer/suspect_test.go
+++ b/observer/suspect_test.go
@@ -22,7 +22,7 @@
 	}, time.Second)
 	near := observer.Instance{ID: "near", Group: "g", AvailabilityZone: "near", Slots: 3}
 	far := observer.Instance{ID: "far", Group: "g", AvailabilityZone: "far", Slots: 3}
-	o.SetInstances(start, []observer.Instance{near, far})
+	o.UpdateInstances(start, []observer.Instance{near, far}, nil)
 
 	const outage, interval, timeout = 10 * time.Second, 5 * time.Millisecond, 300 * time.Millisecond
 	var timeouts []time.Time
@@ -55,7 +55,7 @@
 	o := observer.New(func(string) time.Duration { return time.Millisecond }, time.Second)
 	a := observer.Instance{ID: "a", Group: "g", Slots: 3}
 	b := observer.Instance{ID: "b", Group: "g", Slots: 3}
-	o.SetInstances(start, []observer.Instance{a, b})
+	o.UpdateInstances(start, []observer.Instance{a, b}, nil)
 	o.BeginStatement(a)
 	o.RecordFailure(start, a)
 	later := start.Add(time.Second)
--- a/observer/view_test.go
+++ b/observer/view_test.go
@@ -29,7 +29,7 @@
 			g := NewWithT(t)
 			o := observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)
 			a, b := observer.Instance{ID: "a", Group: "g"}, observer.Instance{ID: "b", Group: "g"}
-			o.SetInstances(start, []observer.Instance{a, b})
+			o.UpdateInstances(start, []observer.Instance{a, b}, nil)
 			o.ObserveStatus(start, start, a, modeller.InstanceStatus{IsPrimary: true, Term: 1, Received: at(10)})
 			for n, offset := range []uint64{20, 30} {
 				o.BeginStatement(a)
--- a/renewer/parts.go
+++ b/renewer/parts.go
@@ -7,18 +7,17 @@
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // Observer receives the leases on the primaries.
 type Observer interface {
-	// Groups returns the names of the database groups.
-	Groups() []string
-	// RenewPrimaryLease extends the lease on a group's primary to until. The record as of asOf
-	// says that the term superseded is replaced and the term opened accepts writes.
-	RenewPrimaryLease(now, asOf, until time.Time, group string, superseded, opened uint64)
-	// RevokePrimaryLease ends the lease on the primary of a superseded term.
-	RevokePrimaryLease(now time.Time, group string, superseded uint64)
+	// RenewPrimaryLeases extends the leases on the primaries that a record as of asOf does
+	// not name as superseded to until.
+	RenewPrimaryLeases(now, asOf, until time.Time, r observer.LeaseRecord)
+	// RevokePrimaryLeases ends the leases on the primaries of superseded terms.
+	RevokePrimaryLeases(now time.Time, superseded map[string]uint64)
 }
 
 // Record provides the fleet's record, which is kept in the store.
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -20,6 +20,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
+	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/ranker"
 )
 
@@ -198,9 +199,7 @@
 	}
 	v.record, v.known = r, true
 	v.Dependencies.Record.LearnRecord(now, r)
-	for _, group := range v.Observer.Groups() {
-		v.Observer.RenewPrimaryLease(now, asOf, asOf.Add(v.Lease-clockMargin), group, r.Superseded[group], r.Opened[group])
-	}
+	v.Observer.RenewPrimaryLeases(now, asOf, asOf.Add(v.Lease-clockMargin), observer.LeaseRecord{Version: r.Writes, Superseded: r.Superseded, Opened: r.Opened})
 }
 
 // applyUndated stores a later record of unknown age and revokes the leases on the
@@ -213,7 +212,5 @@
 	}
 	v.record, v.known, v.asOf = r, true, time.Time{}
 	v.Dependencies.Record.LearnRecord(now, r)
-	for group, superseded := range r.Superseded {
-		v.Observer.RevokePrimaryLease(now, group, superseded)
-	}
+	v.Observer.RevokePrimaryLeases(now, r.Superseded)
 }
--- a/renewer/renewer_test.go
+++ b/renewer/renewer_test.go
@@ -113,7 +113,7 @@
 			v := &vm{w: w, n: i, store: true, observer: observer.New(func(string) time.Duration { return time.Millisecond }, 7*time.Second)}
 			v.voucher = renewer.New(renewer.Dependencies{Name: v.name(), Incarnation: 1, Observer: v.observer, Record: v, Fleet: v,
 				Clock: timekeeper.ClockFunc(time.Now), Lease: observer.ViewLease})
-			v.observer.SetInstances(time.Now(), []observer.Instance{{ID: "p", Group: group}, {ID: "r", Group: group}})
+			v.observer.UpdateInstances(time.Now(), []observer.Instance{{ID: "p", Group: group}, {ID: "r", Group: group}}, nil)
 			v.observer.LearnPrimary(time.Now(), group, "p", 1)
 			w.vms = append(w.vms, v)
 		}
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -132,7 +132,7 @@
 	g.paused = map[string]bool{}
 	g.observer = observer.New(func(string) time.Duration { return roundTrip }, time.Second)
 	p := observer.Instance{ID: "p", Group: "g"}
-	g.observer.SetInstances(time.Now(), []observer.Instance{p, {ID: "a", Group: "g"}, {ID: "b", Group: "g"}})
+	g.observer.UpdateInstances(time.Now(), []observer.Instance{p, {ID: "a", Group: "g"}, {ID: "b", Group: "g"}}, nil)
 	g.observer.ObserveStatus(time.Now(), time.Now(), p, modeller.InstanceStatus{IsPrimary: true, Term: 1})
 	return switcher.New(switcher.Dependencies{
 		Name: "vm", Observer: g.observer, Controller: g, Fleet: g, Lease: g, Announcer: g, Promoter: g,
--- a/switcher/suspects.go
+++ b/switcher/suspects.go
@@ -17,7 +17,7 @@
 			s.Controller.RequestStatus(group)
 		}
 	}
-	views := s.Observer.PrimaryViews(now, func(v *observer.PrimaryView) bool {
+	views := s.Observer.ActivePrimaryViews(now, contested, func(v *observer.PrimaryView) bool {
 		if v.Known {
 			return v.Leaving || !v.UnservedSince.IsZero() || record.Superseded[v.Group] >= v.Term
 		}
