perf: changes of the record of replacements travel as changes

Cause: each announcement and each response carried the whole record, which names each group that was ever replaced: some 40 KB after the loss of 1,300 primaries, to each VM and for each of the many changes a second, near the 64 KB of a datagram. Change: a VM that knows an earlier turn is sent the terms that changed since, with a hash; after a mismatch it gets the whole record. Processes of earlier versions get whole records.

--- a/renewer/announce.go
+++ b/renewer/announce.go
@@ -22,10 +22,10 @@
 		if len(remaining) == 0 {
 			return true
 		}
-		latest := v.Record()
+		latest := v.Record().Writes
 		for _, p := range remaining {
-			if v.startAnnouncement(now, p, latest.Writes) {
-				v.sendRequest(now, p, &latest)
+			if v.startAnnouncement(now, p, latest) {
+				v.sendRecord(now, p)
 			}
 		}
 		t := time.NewTimer(announceInterval)
@@ -74,7 +74,7 @@
 	defer v.mu.Unlock()
 	var out []gossiper.Peer
 	for _, p := range v.Fleet.Members(now) {
-		if v.acknowledged[processID{p.Name, p.Incarnation}] < turn {
+		if v.acknowledged[processID{p.Name, p.Incarnation}].turn < turn {
 			out = append(out, p)
 		}
 	}
--- a/renewer/notice.go
+++ b/renewer/notice.go
@@ -45,7 +45,7 @@
 	v.mu.Unlock()
 	switch {
 	case n.Turn > record.Writes:
-		v.sendRequest(now, gossiper.Peer{Message: from}, nil)
+		v.sendRequest(now, gossiper.Peer{Message: from})
 	case n.Turn == record.Writes && n.Age >= 0 && !from.Composed.IsZero():
 		v.apply(now, from.Composed.Add(-n.Age), record)
 	}
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -55,11 +55,14 @@
 
 	mu           sync.Mutex
 	record       leaser.Record
+	history      history
 	asOf         time.Time
 	known        bool
 	nonce        uint64
 	pending      map[uint64]time.Time
-	acknowledged map[processID]uint64
+	acknowledged map[processID]acknowledgement
+	// needsWhole reports that changes did not lead to the sender's record.
+	needsWhole bool
 	// noticedAt is when a relay last told this VM of the record.
 	noticedAt time.Time
 	// announced holds the last announcement to each VM, by name.
@@ -75,9 +78,16 @@
 	incarnation uint64
 }
 
+// acknowledgement is the latest turn that a process has acknowledged, and whether it accepts
+// changes after that turn.
+type acknowledgement struct {
+	turn           uint64
+	acceptsChanges bool
+}
+
 // New returns a Renewer that does not know the record yet.
 func New(p Dependencies) *Renewer {
-	return &Renewer{Dependencies: p, pending: map[uint64]time.Time{}, acknowledged: map[processID]uint64{}, announced: map[string]announcement{}}
+	return &Renewer{Dependencies: p, pending: map[uint64]time.Time{}, acknowledged: map[processID]acknowledgement{}, announced: map[string]announcement{}}
 }
 
 // Run refreshes the record periodically until ctx ends.
@@ -109,7 +119,7 @@
 		return
 	}
 	if source, self := v.reader(v.Fleet.Alive(now)); !self {
-		v.sendRequest(now, source, nil)
+		v.sendRequest(now, source)
 	}
 }
 
@@ -126,7 +136,7 @@
 		source, self = v.reader(alive)
 	}
 	if !self && !v.isNoticed(now) {
-		v.sendRequest(now, source, nil)
+		v.sendRequest(now, source)
 	}
 	stale := v.RecordAge(now) > maxRelayedAge
 	read := self
@@ -164,7 +174,7 @@
 	source := ranked[v.refreshes%min(fallbackSources, len(ranked))]
 	for _, p := range alive {
 		if p.Name == source {
-			v.sendRequest(now, p, nil)
+			v.sendRequest(now, p)
 		}
 	}
 	rank := slices.Index(ranked, v.Name)
@@ -197,11 +207,19 @@
 	if !v.known || r.Writes > v.record.Writes || asOf.After(v.asOf) {
 		v.asOf = asOf
 	}
-	v.record, v.known = r, true
+	v.setRecord(r)
 	v.Dependencies.Record.LearnRecord(now, r)
 	v.Observer.RenewPrimaryLeases(now, asOf, asOf.Add(v.Lease-clockMargin), observer.LeaseRecord{Version: r.Writes, Superseded: r.Superseded, Opened: r.Opened})
 }
 
+// setRecord sets the known record. The caller holds the lock.
+func (v *Renewer) setRecord(r leaser.Record) {
+	if !v.known || r.Writes > v.record.Writes {
+		v.history.add(v.record, r)
+	}
+	v.record, v.known = r, true
+}
+
 // applyUndated stores a later record of unknown age and revokes the leases on the
 // primaries that it supersedes.
 func (v *Renewer) applyUndated(now time.Time, r leaser.Record) {
@@ -210,7 +228,8 @@
 	if v.known && r.Writes <= v.record.Writes {
 		return
 	}
-	v.record, v.known, v.asOf = r, true, time.Time{}
+	v.setRecord(r)
+	v.asOf = time.Time{}
 	v.Dependencies.Record.LearnRecord(now, r)
 	v.Observer.RevokePrimaryLeases(now, r.Superseded)
 }
--- a/renewer/request.go
+++ b/renewer/request.go
@@ -16,8 +16,14 @@
 type recordRequest struct {
 	Nonce  uint64         `cbor:"1,keyasint"`
 	Record *leaser.Record `cbor:"2,keyasint,omitempty"`
-	// KnownTurn is the turn of the record that the sender knows; zero if none.
+	// KnownTurn is the turn of the record that the sender knows; zero if none, or if it needs
+	// the whole record.
 	KnownTurn uint64 `cbor:"3,keyasint,omitempty"`
+	// AcceptsChanges reports that the response may state changes after KnownTurn. Earlier
+	// versions do not.
+	AcceptsChanges bool `cbor:"4,keyasint,omitempty"`
+	// Changes are the changes that lead to Record, which then has no terms.
+	Changes *recordChanges `cbor:"5,keyasint,omitempty"`
 }
 
 // recordResponse carries the record that a VM knows.
@@ -34,13 +40,41 @@
 	// only its turn is set, and Unchanged reports that.
 	Record    leaser.Record `cbor:"5,keyasint"`
 	Unchanged bool          `cbor:"7,keyasint,omitempty"`
+	// Changes are the changes that lead to Record, which then has no terms.
+	Changes *recordChanges `cbor:"8,keyasint,omitempty"`
+	// AcceptsChanges reports that later requests may state changes after the turn of Record.
+	AcceptsChanges bool `cbor:"9,keyasint,omitempty"`
 }
 
-// sendRequest sends a request to a VM, with r unless that is nil.
-func (v *Renewer) sendRequest(now time.Time, p gossiper.Peer, r *leaser.Record) {
+// sendRequest requests the record that a VM knows.
+func (v *Renewer) sendRequest(now time.Time, p gossiper.Peer) {
+	v.send(now, p, recordRequest{})
+}
+
+// sendRecord sends a VM the record that this VM knows, as changes where the VM has
+// acknowledged an earlier one.
+func (v *Renewer) sendRecord(now time.Time, p gossiper.Peer) {
+	v.mu.Lock()
+	record := v.record
+	var changes *recordChanges
+	if a := v.acknowledged[processID{p.Name, p.Incarnation}]; a.acceptsChanges {
+		changes = v.history.changesAfter(a.turn, record)
+	}
+	v.mu.Unlock()
+	if changes != nil {
+		record = header(record)
+	}
+	v.send(now, p, recordRequest{Record: &record, Changes: changes})
+}
+
+// send sends a request to a VM.
+func (v *Renewer) send(now time.Time, p gossiper.Peer, request recordRequest) {
 	v.mu.Lock()
 	v.nonce++
-	request := recordRequest{Nonce: v.nonce, Record: r, KnownTurn: v.record.Writes}
+	request.Nonce, request.KnownTurn, request.AcceptsChanges = v.nonce, v.record.Writes, true
+	if v.needsWhole {
+		request.KnownTurn = 0
+	}
 	for nonce, at := range v.pending {
 		if now.Sub(at) > v.Lease {
 			delete(v.pending, nonce)
@@ -62,15 +96,19 @@
 	if cbor.Unmarshal(b, &request) != nil {
 		return nil
 	}
+	understood := true
 	if request.Record != nil {
-		v.applyUndated(now, *request.Record)
-	}
-	v.mu.Lock()
-	response := recordResponse{Nonce: request.Nonce, Name: v.Name, Incarnation: v.Incarnation, Known: v.known && !v.asOf.IsZero(), Age: now.Sub(v.asOf), Record: v.record}
-	v.mu.Unlock()
-	if turn := response.Record.Writes; turn > 0 && turn == request.KnownTurn {
-		response.Record, response.Unchanged = leaser.Record{Writes: turn}, true
+		record, known := *request.Record, v.Record()
+		if request.Changes != nil && record.Writes > known.Writes {
+			record, understood = request.Changes.applyTo(known, record)
+		}
+		if understood {
+			v.applyUndated(now, record)
+		}
 	}
+	response := v.response(now, request)
+	// A VM that could not follow the changes is sent the whole record next.
+	response.AcceptsChanges = understood
 	out, err := cbor.Marshal(response)
 	if err != nil {
 		panic(err)
@@ -78,6 +116,28 @@
 	return out
 }
 
+// response returns the response to a request: the record as far as the other VM does not
+// know it.
+func (v *Renewer) response(now time.Time, request recordRequest) recordResponse {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	response := recordResponse{Nonce: request.Nonce, Name: v.Name, Incarnation: v.Incarnation, Known: v.known && !v.asOf.IsZero(), Age: now.Sub(v.asOf), Record: v.record}
+	switch turn := v.record.Writes; {
+	case turn == 0 || request.KnownTurn == 0:
+	case turn == request.KnownTurn:
+		response.Record, response.Unchanged = leaser.Record{Writes: turn}, true
+	case !request.AcceptsChanges:
+	case turn < request.KnownTurn:
+		// The other VM ignores an earlier record than its own.
+		response.Record = header(v.record)
+	default:
+		if response.Changes = v.history.changesAfter(request.KnownTurn, v.record); response.Changes != nil {
+			response.Record = header(v.record)
+		}
+	}
+	return response
+}
+
 // HandleResponse handles the response of another VM.
 //
 // The response was created after the request was sent. Its record is therefore
@@ -92,7 +152,7 @@
 	sent, ok := v.pending[response.Nonce]
 	delete(v.pending, response.Nonce)
 	from := processID{response.Name, response.Incarnation}
-	v.acknowledged[from] = max(v.acknowledged[from], response.Record.Writes)
+	v.acknowledged[from] = acknowledgement{turn: max(v.acknowledged[from].turn, response.Record.Writes), acceptsChanges: response.AcceptsChanges}
 	if a, ok := v.announced[response.Name]; ok {
 		a.unanswered = 0
 		v.announced[response.Name] = a
@@ -102,8 +162,29 @@
 		ok = ok && v.record.Writes == response.Record.Writes
 		response.Record = v.record
 	}
+	if response.Changes != nil {
+		ok = v.completeRecord(&response) && ok
+	} else if response.Record.Writes >= v.record.Writes {
+		v.needsWhole = false
+	}
 	v.mu.Unlock()
 	if ok && response.Known {
 		v.apply(now, sent.Add(-response.Age), response.Record)
 	}
 }
+
+// completeRecord replaces the record of a response that states changes by the one to which
+// they lead, and reports whether they do. After a failure the whole record is requested.
+// The caller holds the lock.
+func (v *Renewer) completeRecord(response *recordResponse) bool {
+	switch {
+	case response.Record.Writes < v.record.Writes:
+		return false
+	case response.Record.Writes == v.record.Writes:
+		response.Record = v.record
+		return true
+	}
+	record, ok := response.Changes.applyTo(v.record, response.Record)
+	response.Record, v.needsWhole = record, !ok
+	return ok
+}
