feat: the rate of promotion requests of the platform is a setting

Cause: the VM that replaces primaries runs at most 16 replacements at a time, whatever the platform accepts. Nothing reads it yet. Measured: TestDutiesRate and TestInvalidHosted.

--- a/loader/hostedsettings.go
+++ b/loader/hostedsettings.go
@@ -76,12 +76,18 @@
 	Metrics netip.AddrPort `yaml:"metrics"`
 }
 
-// HostedPlatform holds the addresses of a platform's services.
+// defaultDutiesRate is the default of HostedPlatform.DutiesRate.
+const defaultDutiesRate = 50
+
+// HostedPlatform holds the addresses of a platform's services, and their limits.
 type HostedPlatform struct {
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `yaml:"store"`
 	// Duties is the address of the service that replaces primaries.
 	Duties netip.AddrPort `yaml:"duties"`
+	// DutiesRate is the number of promotion requests per second that this service accepts
+	// from all VMs together.
+	DutiesRate float64 `yaml:"duties-rate"`
 }
 
 // LoadHosted reads a settings file, sets the defaults and validates every field.
@@ -112,6 +118,7 @@
 	setDefault(&h.Grace, 6*time.Second)
 	setDefault(&h.Drain, 7*time.Second)
 	setDefault(&h.Lease, 5*time.Second)
+	setDefault(&h.Platform.DutiesRate, defaultDutiesRate)
 	setDefault(&h.Log.Level, "info")
 }
 
@@ -132,6 +139,8 @@
 	require(h.Listen.Operators.IsValid(), "listen.operators is missing")
 	require(h.Platform.Store.IsValid(), "platform.store is missing")
 	require(h.Platform.Duties.IsValid(), "platform.duties is missing")
+	// NaN fails the comparison too.
+	require(h.Platform.DutiesRate > 0 && !math.IsInf(h.Platform.DutiesRate, 1), "platform.duties-rate must be a positive number of requests per second")
 	_, err := log.ParseLevel(h.Log.Level)
 	require(err == nil, "log.level must be debug, info, warn or error")
 	require(h.Grace >= time.Second, "grace must be at least 1s")
--- a/loader/hostedsettings_test.go
+++ b/loader/hostedsettings_test.go
@@ -29,6 +29,8 @@
 		{"unknown field", `grace: "6s"`, `graec: "6s"`, `did you mean "grace"?`},
 		{"lease too short", `lease: "4000ms"`, `lease: "4ms"`, "lease must be at least 1s"},
 		{"drain too short", `grace: "6s"`, "grace: 6s\ndrain: 2s", "drain must be at least 3s"},
+		{"negative rate", `duties: "10.200.0.2:8466"`, `duties-rate: -1`, "platform.duties-rate must be a positive number"},
+		{"rate without a bound", `duties: "10.200.0.2:8466"`, `duties-rate: .inf`, "platform.duties-rate must be a positive number"},
 		{"missing identifier", `id: "edge-1"`, `id: ""`, "vm.id is missing"},
 	}
 	raw, err := os.ReadFile("testdata/hosted.yaml")
@@ -42,3 +44,28 @@
 		})
 	}
 }
+
+// The template leaves the value empty where the platform does not state its rate: such a
+// file must load, with the default.
+func TestDutiesRate(t *testing.T) {
+	tests := []struct {
+		name, line string
+		want       float64
+	}{
+		{"absent", "", 50},
+		{"empty", "  duties-rate: ", 50},
+		{"zero", "  duties-rate: 0", 50},
+		{"integer", "  duties-rate: 120", 120},
+		{"fraction", "  duties-rate: 0.5", 0.5},
+	}
+	raw, err := os.ReadFile("testdata/hosted.yaml")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, err := loader.ParseHosted("hosted.yaml", []byte(strings.Replace(string(raw), "platform:\n", "platform:\n"+tt.line+"\n", 1)))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(h.Platform.DutiesRate).To(Equal(tt.want))
+		})
+	}
+}
