perf: a change of one instance costs in proportion to what changed

Cause: each response of a watch passed on the whole list of instances, which each VM then copied, hashed, sorted and walked; changes from another VM did the same. Change: Watcher passes on updates, versioner.List applies them in place with an incremental hash and a log of changes by revision, and returns what is new, also relative to a whole list. The assembler decodes only that. The content of messages between VMs and the hash are unchanged. Changes of instances reach the Observer under applyMu, since a late one would no longer be corrected by the next list.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -69,6 +69,7 @@
 		startedAt:   p.Clock.Now(),
 		instances:   observer.NewInstanceList(),
 		listing:     versioner.NewList(),
+		instanceIDs: map[string]string{},
 		bodies:      newBodies(),
 		peerClient:  &http.Client{Transport: &http.Transport{DialContext: p.Dial, DisableCompression: true}},
 	}
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -11,7 +11,6 @@
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
-	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/versioner"
 )
@@ -36,11 +35,11 @@
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
 	known := func() bool { return p.State.listingChange.Load() > 0 }
-	return p.watchPrefix(ctx, p.Parts.Adapter.InstancesPrefix(), known, func(revision uint64, objects map[string]keeper.Object) {
+	return p.watchPrefix(ctx, p.Parts.Adapter.InstancesPrefix(), known, func(u versioner.Update) {
 		p.State.applyMu.Lock()
 		defer p.State.applyMu.Unlock()
-		if p.State.listing.Replace(revision, objects) {
-			p.applyInstances(revision)
+		if news, ok := p.State.listing.Update(u); ok {
+			p.applyInstances(news, u.Revision)
 		}
 	})
 }
@@ -63,64 +62,51 @@
 	}
 	p.State.applyMu.Lock()
 	defer p.State.applyMu.Unlock()
-	if p.State.listing.Apply(l.Changes) {
-		p.applyInstances(l.ChangedAt)
+	if news, ok := p.State.listing.Apply(l.Changes); ok {
+		p.applyInstances(news, l.ChangedAt)
 	}
 	return nil
 }
 
-// applyInstances passes the list of instances to the components, and announces it to the
-// other VMs if it changed. changedAt is the revision of the change. The caller holds
-// applyMu.
-func (p *Proxy) applyInstances(changedAt uint64) {
-	list, removed := p.decodeInstances()
-	changed := p.State.instances.Update(p.Parts.Clock.Now(), list, removed)
+// applyInstances passes what is new in the list of instances to the components, and announces
+// it to the other VMs if it matters to them. changedAt is the revision of the change. The
+// caller holds applyMu.
+func (p *Proxy) applyInstances(news versioner.Update, changedAt uint64) {
+	changed, removed := p.decodeInstances(news)
+	relevant := p.State.instances.Update(p.Parts.Clock.Now(), changed, removed)
 	p.updateInstances()
-	if changed || p.State.listingChange.Load() == 0 {
+	if relevant || p.State.listingChange.Load() == 0 {
 		p.State.listingChange.Store(changedAt)
 		p.announceChange()
 	}
 }
 
-// decodeInstances decodes the entries of the list that changed since the last call, and
-// returns their instances and the ids of those that are gone. The caller holds applyMu.
-func (p *Proxy) decodeInstances() (changed []observer.Instance, removed []string) {
-	objects := p.State.listing.Objects()
-	decoded := make(map[string]decodedInstance, len(objects))
-	for _, o := range objects {
-		d, ok := p.State.decoded[o.Key]
-		if !ok || d.version != o.Version {
-			before := d
-			i, err := p.Parts.Adapter.DecodeInstance(o)
-			if err != nil {
-				p.Journal.LogStateChange("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
-			}
-			d = decodedInstance{version: o.Version, instance: i, valid: err == nil}
-			switch {
-			case d.valid:
-				changed = append(changed, i)
-			case before.valid:
-				removed = append(removed, before.instance.ID)
-			}
+// decodeInstances decodes what is new in the list, and returns the instances that were added
+// or changed and the ids of those that are gone. The caller holds applyMu.
+func (p *Proxy) decodeInstances(news versioner.Update) (changed []observer.Instance, removed []string) {
+	changed = make([]observer.Instance, 0, len(news.Objects))
+	for _, o := range news.Objects {
+		i, err := p.Parts.Adapter.DecodeInstance(o)
+		if err != nil {
+			p.Journal.LogStateChange("instance-passed-over", journaler.F("key", o.Key), journaler.Err(err))
+			news.Removed = append(news.Removed, o.Key)
+			continue
 		}
-		decoded[o.Key] = d
+		if id, ok := p.State.instanceIDs[o.Key]; ok && id != i.ID {
+			removed = append(removed, id)
+		}
+		p.State.instanceIDs[o.Key] = i.ID
+		changed = append(changed, i)
 	}
-	for key, d := range p.State.decoded {
-		if _, ok := decoded[key]; !ok && d.valid {
-			removed = append(removed, d.instance.ID)
+	for _, key := range news.Removed {
+		if id, ok := p.State.instanceIDs[key]; ok {
+			removed = append(removed, id)
+			delete(p.State.instanceIDs, key)
 		}
 	}
-	p.State.decoded = decoded
 	return changed, removed
 }
 
-// decodedInstance is the decoded entry of an instance at a version.
-type decodedInstance struct {
-	version  string
-	instance observer.Instance
-	valid    bool
-}
-
 // serveListing serves the changes of the list of instances after a revision, or the whole list.
 func (p *Proxy) serveListing(w http.ResponseWriter, r *http.Request) {
 	changedAt := p.State.listingChange.Load()
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -65,10 +65,11 @@
 	storeRecoveredAt atomic.Int64
 	instances        *observer.InstanceList
 	// listing is the list of instances as the store holds it; listingChange is the revision
-	// of its last relevant change. decoded holds its decoded entries, by key, under applyMu.
+	// of its last relevant change. instanceIDs holds the ids of its valid instances, by key,
+	// under applyMu.
 	listing       *versioner.List
 	listingChange atomic.Uint64
-	decoded       map[string]decodedInstance
+	instanceIDs   map[string]string
 	// standby reports that this VM may have to replace primaries.
 	standby atomic.Bool
 	// watchesStore reports that this VM watches the store.
@@ -234,15 +235,23 @@
 		select {
 		case <-ticker.C:
 			p.Dispatcher.CloseIdle(p.Parts.Clock.Now())
-			if p.State.instances.HasUnlisted() {
-				p.updateInstances()
-			}
+			p.dropUnlisted()
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// dropUnlisted drops the instances that stay missing from the list.
+func (p *Proxy) dropUnlisted() {
+	// Without the lock, the Observer could receive these changes after later ones.
+	p.State.applyMu.Lock()
+	defer p.State.applyMu.Unlock()
+	if p.State.instances.HasUnlisted() {
+		p.updateInstances()
+	}
+}
+
 // serve serves HTTP at an address until ctx ends.
 func (p *Proxy) serve(ctx context.Context, address netip.AddrPort, h http.Handler) error {
 	l, err := p.Parts.Listen(address)
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -10,10 +10,10 @@
 	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
-	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/ranker"
+	"github.com/marigoldgauge/marigoldgauge/versioner"
 	"github.com/marigoldgauge/marigoldgauge/watcher"
 )
 
@@ -57,7 +57,7 @@
 )
 
 // watchPrefix watches a prefix of the store and applies its changes.
-func (p *Proxy) watchPrefix(ctx context.Context, prefix string, known func() bool, apply func(revision uint64, objects map[string]keeper.Object)) error {
+func (p *Proxy) watchPrefix(ctx context.Context, prefix string, known func() bool, apply func(u versioner.Update)) error {
 	f := watcher.Watcher{
 		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchTimeout, Clock: p.Parts.Clock, Apply: apply, OnStoreCall: p.recordStoreResult,
 		MaxBackoff: p.maxRetryDelay, Suspend: p.skipsWatch, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
@@ -125,9 +125,11 @@
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:strings.LastIndexByte(key, '/')+1]
 	known := func() bool { return p.Catalogue.Current() != nil }
-	return p.watchPrefix(ctx, prefix, known, func(_ uint64, objects map[string]keeper.Object) {
-		if o, ok := objects[key]; ok {
-			p.applyCatalogue(o.Value, "store")
+	return p.watchPrefix(ctx, prefix, known, func(u versioner.Update) {
+		for _, o := range u.Objects {
+			if o.Key == key {
+				p.applyCatalogue(o.Value, "store")
+			}
 		}
 	})
 }
@@ -219,7 +221,8 @@
 	return slices.Index(ranker.RankByClass(watchRankingKey, names, p.Gossiper.Capacity), p.Parts.Settings.VM.ID)
 }
 
-// updateInstances passes the current instances to the components.
+// updateInstances passes the changes of the instances to the components. The caller holds
+// applyMu.
 func (p *Proxy) updateInstances() {
 	now := p.Parts.Clock.Now()
 	updated, dropped := p.State.instances.Changes(now)
--- a/versioner/list_test.go
+++ b/versioner/list_test.go
@@ -20,15 +20,49 @@
 	objects  map[string]keeper.Object
 }
 
-// change puts or deletes a random object.
-func (s *store) change(r *rand.Rand) {
+// change puts or deletes a random object, and returns its key.
+func (s *store) change(r *rand.Rand) string {
 	s.revision++
 	key := fmt.Sprintf("k-%d", r.IntN(12))
 	if _, ok := s.objects[key]; ok && r.IntN(3) == 0 {
 		delete(s.objects, key)
-		return
+		return key
 	}
 	s.objects[key] = keeper.Object{Key: key, Version: strconv.FormatUint(s.revision, 10), Revision: s.revision}
+	return key
+}
+
+// changesOf returns the update that the changes of keys lead to.
+func (s *store) changesOf(keys map[string]bool) versioner.Update {
+	u := versioner.Update{Revision: s.revision}
+	for key := range keys {
+		if o, ok := s.objects[key]; ok {
+			u.Objects = append(u.Objects, o)
+		} else {
+			u.Removed = append(u.Removed, key)
+		}
+	}
+	return u
+}
+
+// whole returns an update with the whole list.
+func whole(revision uint64, objects map[string]keeper.Object) versioner.Update {
+	return versioner.Update{Revision: revision, Objects: slices.Collect(maps.Values(objects)), Whole: true}
+}
+
+// mirror is the objects that the updates returned by a list lead to.
+type mirror map[string]keeper.Object
+
+// add applies an update. It fails the test if the update holds what the mirror has already.
+func (m mirror) add(g Gomega, u versioner.Update) {
+	for _, o := range u.Objects {
+		g.Expect(m[o.Key]).NotTo(Equal(o))
+		m[o.Key] = o
+	}
+	for _, key := range u.Removed {
+		g.Expect(m).To(HaveKey(key))
+		delete(m, key)
+	}
 }
 
 // sortedObjects returns the objects of the store.
@@ -41,38 +75,148 @@
 }
 
 // VMs that read the store or fetch changes from each other, in any order, hold what the
-// store held at the revision of their list.
+// store held at the revision of their list. Some of them read the whole list, the others the
+// changes since they last read the store. What they report as new leads to the same objects.
 func TestListsFollowTheStore(t *testing.T) {
 	for seed := range uint64(200) {
 		g := NewWithT(t)
 		r := rand.New(rand.NewPCG(seed, 1))
 		s := &store{revision: 1, objects: map[string]keeper.Object{}}
 		history := map[uint64][]keeper.Object{}
-		lists := make([]*versioner.List, 5)
+		lists, mirrors, unread := make([]*versioner.List, 5), make([]mirror, 5), make([]map[string]bool, 5)
 		for n := range lists {
-			lists[n] = versioner.NewList()
+			lists[n], mirrors[n] = versioner.NewList(), mirror{}
 		}
 		for range 300 {
-			s.change(r)
+			key := s.change(r)
+			for _, keys := range unread {
+				if keys != nil {
+					keys[key] = true
+				}
+			}
 			history[s.revision] = s.sortedObjects()
-			to := lists[r.IntN(len(lists))]
+			n := r.IntN(len(lists))
+			to := lists[n]
+			var u versioner.Update
 			if r.IntN(4) == 0 {
-				to.Replace(s.revision, s.objects)
+				if unread[n] == nil || r.IntN(4) == 0 {
+					u, _ = to.Update(whole(s.revision, s.objects))
+				} else {
+					u, _ = to.Update(s.changesOf(unread[n]))
+				}
+				unread[n] = map[string]bool{}
 			} else if from := lists[r.IntN(len(lists))]; from.Revision() > 0 {
-				to.Apply(from.ChangesAfter(to.Base()))
+				u, _ = to.Apply(from.ChangesAfter(to.Base()))
 			}
+			mirrors[n].add(g, u)
 			if to.Base() > 0 {
 				g.Expect(to.Objects()).To(Equal(history[to.Revision()]), "seed %d, revision %d", seed, to.Revision())
+				g.Expect(to.Objects()).To(Equal((&store{objects: mirrors[n]}).sortedObjects()), "seed %d, revision %d", seed, to.Revision())
 			}
 		}
 	}
 }
 
+// Guards against changes that are lost, kept for ever or sent twice when the changes that a
+// list remembers are compacted, and against a removal that is sent without being known any
+// more. The changes of one source always lead to its list.
+func TestChangesOfALongHistory(t *testing.T) {
+	const objects, steps, remembered = 3000, 6000, 1024
+	g := NewWithT(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	s := &store{revision: 1, objects: map[string]keeper.Object{}}
+	put := func(n int) string {
+		s.revision++
+		key := fmt.Sprintf("k-%d", n)
+		s.objects[key] = keeper.Object{Key: key, Version: strconv.FormatUint(s.revision, 10), Revision: s.revision}
+		return key
+	}
+	for n := range objects {
+		put(n)
+	}
+	from, to := versioner.NewList(), versioner.NewList()
+	from.Update(whole(s.revision, s.objects))
+	to.Update(whole(s.revision, s.objects))
+	for step := range steps {
+		var key string
+		switch n := step % objects; {
+		case step < objects && step%2 == 0:
+			s.revision++
+			key = fmt.Sprintf("k-%d", n)
+			delete(s.objects, key)
+		case step%3 == 0:
+			key = put(n % 7)
+		default:
+			key = put(n)
+		}
+		from.Update(s.changesOf(map[string]bool{key: true}))
+		if r.IntN(remembered/4) != 0 && step < steps-1 {
+			continue
+		}
+		after := to.Base()
+		c := from.ChangesAfter(after)
+		g.Expect(c.After).To(Equal(after), "fewer removals since than are remembered")
+		want := slices.DeleteFunc(s.sortedObjects(), func(o keeper.Object) bool { return o.Revision <= after })
+		g.Expect(c.Objects).To(HaveLen(len(want)))
+		_, applied := to.Apply(c)
+		g.Expect(applied).To(BeTrue())
+		g.Expect(slices.Equal(digests(to.Objects()), digests(s.sortedObjects()))).To(BeTrue())
+	}
+	g.Expect(from.ChangesAfter(objects + 1).After).To(BeZero())
+}
+
+// digests returns the keys and versions of objects.
+func digests(objects []keeper.Object) []string {
+	out := make([]string, len(objects))
+	for n, o := range objects {
+		out[n] = o.Key + "@" + o.Version
+	}
+	return out
+}
+
+// Guards against an older state of an object that replaces a later one, and against the loss
+// of a removal of which the list does not know the object: another VM may have it.
+func TestUpdate(t *testing.T) {
+	object := func(key string, revision uint64) keeper.Object {
+		return keeper.Object{Key: key, Version: strconv.FormatUint(revision, 10), Revision: revision}
+	}
+	a, b := object("a", 3), object("b", 7)
+	tests := []struct {
+		name        string
+		update      versioner.Update
+		want        versioner.Update
+		applied     bool
+		wantRemoved []string
+	}{
+		{"an older state in a change", versioner.Update{Revision: 12, Objects: []keeper.Object{object("a", 2)}}, versioner.Update{Revision: 12}, true, nil},
+		{"an older state in a list", versioner.Update{Revision: 12, Objects: []keeper.Object{object("a", 2), b}, Whole: true}, versioner.Update{Revision: 12, Objects: []keeper.Object{object("a", 2)}}, true, nil},
+		{"a removal of an unknown object", versioner.Update{Revision: 12, Removed: []string{"c"}}, versioner.Update{Revision: 12}, true, []string{"c"}},
+		{"a removal", versioner.Update{Revision: 12, Removed: []string{"b"}}, versioner.Update{Revision: 12, Removed: []string{"b"}}, true, []string{"b"}},
+		{"deletions between two lists", versioner.Update{Revision: 30, Objects: []keeper.Object{b}, Whole: true}, versioner.Update{Revision: 30, Removed: []string{"a"}}, true, []string{"a"}},
+		{"no changes", versioner.Update{Revision: 12}, versioner.Update{Revision: 12}, true, nil},
+		{"an outdated change", versioner.Update{Revision: 9, Removed: []string{"b"}}, versioner.Update{}, false, nil},
+		{"an outdated list", versioner.Update{Revision: 9, Whole: true}, versioner.Update{}, false, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := versioner.NewList()
+			_, applied := l.Update(versioner.Update{Revision: 10})
+			g.Expect(applied).To(BeFalse(), "changes without a list")
+			l.Update(whole(10, map[string]keeper.Object{"a": a, "b": b}))
+			got, applied := l.Update(tt.update)
+			g.Expect(got).To(Equal(tt.want))
+			g.Expect(applied).To(Equal(tt.applied))
+			g.Expect(l.ChangesAfter(10).Removed).To(Equal(tt.wantRemoved))
+		})
+	}
+}
+
 func TestChanges(t *testing.T) {
 	object := func(key string, revision uint64) keeper.Object { return keeper.Object{Key: key, Revision: revision} }
 	l := versioner.NewList()
-	l.Replace(10, map[string]keeper.Object{"a": object("a", 3), "b": object("b", 7)})
-	l.Replace(20, map[string]keeper.Object{"a": object("a", 15), "c": object("c", 18)})
+	l.Update(whole(10, map[string]keeper.Object{"a": object("a", 3), "b": object("b", 7)}))
+	l.Update(whole(20, map[string]keeper.Object{"a": object("a", 15), "c": object("c", 18)}))
 	hash := l.ChangesAfter(20).Hash
 	tests := []struct {
 		name  string
@@ -99,12 +243,17 @@
 	g := NewWithT(t)
 	from, to := versioner.NewList(), versioner.NewList()
 	first := map[string]keeper.Object{"a": {Key: "a", Version: "3", Revision: 3}}
-	from.Replace(10, first)
-	to.Replace(15, map[string]keeper.Object{"a": first["a"], "b": {Key: "b", Version: "12", Revision: 12}})
-	from.Replace(20, first)
-	g.Expect(to.Apply(from.ChangesAfter(to.Base()))).To(BeFalse())
+	from.Update(whole(10, first))
+	to.Update(whole(15, map[string]keeper.Object{"a": first["a"], "b": {Key: "b", Version: "12", Revision: 12}}))
+	from.Update(whole(20, first))
+	u, applied := to.Apply(from.ChangesAfter(to.Base()))
+	g.Expect(u).To(Equal(versioner.Update{}))
+	g.Expect(applied).To(BeFalse())
 	g.Expect(to.Base()).To(BeZero())
-	g.Expect(to.Apply(from.ChangesAfter(to.Base()))).To(BeTrue())
+	g.Expect(to.Objects()).To(HaveLen(2))
+	u, applied = to.Apply(from.ChangesAfter(to.Base()))
+	g.Expect(u).To(Equal(versioner.Update{Revision: 20, Removed: []string{"b"}}))
+	g.Expect(applied).To(BeTrue())
 	g.Expect(to.Base()).To(Equal(uint64(20)))
 	g.Expect(to.Objects()).To(HaveLen(1))
 }
@@ -123,8 +272,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
 			l := versioner.NewList()
-			l.Replace(10, map[string]keeper.Object{"a": {Key: "a", Revision: 3}})
-			g.Expect(l.Apply(tt.changes)).To(BeFalse())
+			l.Update(whole(10, map[string]keeper.Object{"a": {Key: "a", Revision: 3}}))
+			_, applied := l.Apply(tt.changes)
+			g.Expect(applied).To(BeFalse())
 			g.Expect(l.Objects()).To(HaveLen(1))
 			g.Expect(l.Revision()).To(Equal(uint64(10)))
 		})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -1,5 +1,5 @@
-// Package watcher watches one prefix of the platform's store and keeps a local
-// copy of its objects up to date, with the revision of the copy.
+// Package watcher watches one prefix of the platform's store and passes on the
+// changes of its objects, with the revision up to which they are complete.
 package watcher
 
 import (
@@ -9,6 +9,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/timekeeper"
+	"github.com/marigoldgauge/marigoldgauge/versioner"
 )
 
 const (
@@ -24,7 +25,7 @@
 	holdInterval = 500 * time.Millisecond
 )
 
-// Watcher keeps a copy of the objects under one prefix.
+// Watcher watches the objects under one prefix.
 type Watcher struct {
 	// Store is the platform's store.
 	Store Store
@@ -35,9 +36,10 @@
 	Wait func() time.Duration
 	// Clock tells the present time.
 	Clock timekeeper.Clock
-	// Apply receives the whole copy after each successful call, with the revision
-	// as of which it is complete.
-	Apply func(revision uint64, objects map[string]keeper.Object)
+	// Apply receives an update after each successful call: the whole list after the first one
+	// and whenever changes may have been missed, otherwise the changes since the preceding
+	// update, of which there may be none.
+	Apply func(u versioner.Update)
 	// MaxBackoff returns the maximum backoff while the store does not respond. Nil stands
 	// for maxBackoff. VMs with a longer maximum let other VMs retry first.
 	MaxBackoff func(now time.Time) time.Duration
@@ -51,7 +53,9 @@
 	// OnStoreCall receives the error of each call, nil if the store responded.
 	OnStoreCall func(now time.Time, err error)
 
-	objects   map[string]keeper.Object
+	// listed reports that the changes after revision lead to the store's objects; otherwise
+	// the next call lists all objects.
+	listed    bool
 	revision  uint64
 	suspended bool
 }
@@ -67,7 +71,7 @@
 			}
 			continue
 		}
-		if f.objects == nil && !f.suspended && f.ShouldStart != nil && !f.ShouldStart(f.Clock.Now()) {
+		if !f.listed && !f.suspended && f.ShouldStart != nil && !f.ShouldStart(f.Clock.Now()) {
 			if !timekeeper.Sleep(ctx, beginInterval) {
 				return nil
 			}
@@ -83,7 +87,7 @@
 			}
 			// The store may have discarded the history since then, so the next call
 			// lists all objects.
-			f.suspended, f.objects = false, nil
+			f.suspended, f.listed = false, false
 		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -107,7 +111,7 @@
 
 // shouldSuspend reports whether to suspend calls to the store.
 func (f *Watcher) shouldSuspend() bool {
-	known := f.objects != nil || (f.KnownElsewhere != nil && f.KnownElsewhere())
+	known := f.listed || (f.KnownElsewhere != nil && f.KnownElsewhere())
 	return known && f.Suspend != nil && f.Suspend(f.Clock.Now())
 }
 
@@ -121,14 +125,15 @@
 
 // step makes one call to the store and applies its response.
 func (f *Watcher) step(ctx context.Context) error {
-	if f.objects == nil {
+	if !f.listed {
 		page, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
 			return err
 		}
-		f.objects = map[string]keeper.Object{}
-		f.merge(page)
-		f.Apply(f.revision, f.objects)
+		u := f.update(page)
+		u.Whole, u.Removed = true, nil
+		f.listed = true
+		f.Apply(u)
 		return nil
 	}
 	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait())
@@ -136,11 +141,10 @@
 		return err
 	}
 	if page.TooOld {
-		f.objects = nil
+		f.listed = false
 		return nil
 	}
-	f.merge(page)
-	f.Apply(f.revision, f.objects)
+	f.Apply(f.update(page))
 	if len(page.Objects) > 0 {
 		// Changes often come in bursts, so that the next call returns several at once.
 		timekeeper.Sleep(ctx, batchDelay)
@@ -148,17 +152,26 @@
 	return nil
 }
 
-// merge merges a page into the copy.
-func (f *Watcher) merge(page keeper.Page) {
-	for _, o := range page.Objects {
-		if o.Deleted {
-			delete(f.objects, o.Key)
+// update returns the update that a page stands for: the last state of each object in it.
+func (f *Watcher) update(page keeper.Page) versioner.Update {
+	f.revision = max(f.revision, page.Revision)
+	last := make(map[string]int, len(page.Objects))
+	for i, o := range page.Objects {
+		j, ok := last[o.Key]
+		if ok && !o.Deleted && !page.Objects[j].Deleted && page.Objects[j].Revision > o.Revision {
 			continue
 		}
-		if current, ok := f.objects[o.Key]; ok && current.Revision > o.Revision {
-			continue
+		last[o.Key] = i
+	}
+	u := versioner.Update{Revision: f.revision, Objects: make([]keeper.Object, 0, len(last))}
+	for i, o := range page.Objects {
+		switch {
+		case last[o.Key] != i:
+		case o.Deleted:
+			u.Removed = append(u.Removed, o.Key)
+		default:
+			u.Objects = append(u.Objects, o)
 		}
-		f.objects[o.Key] = o
 	}
-	f.revision = max(f.revision, page.Revision)
+	return u
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/timekeeper"
+	"github.com/marigoldgauge/marigoldgauge/versioner"
 	"github.com/marigoldgauge/marigoldgauge/watcher"
 )
 
@@ -52,18 +53,18 @@
 	return keeper.Object{Key: key, Revision: revision}
 }
 
-// follow runs a Watcher on a fake store for 20 s and returns the revisions of
-// the last copy by key.
-func follow(t *testing.T, s *fakeStore, hold func(now time.Time) bool) map[string]uint64 {
-	got := map[string]uint64{}
+// follow runs a Watcher on a fake store for 20 s and returns the revisions of the objects
+// of a list that follows its updates, by key, and the updates with changes.
+func follow(t *testing.T, s *fakeStore, hold func(now time.Time) bool) (got map[string]uint64, updates []versioner.Update) {
+	list := versioner.NewList()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := watcher.Watcher{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: timekeeper.ClockFunc(time.Now), Suspend: hold,
 			OnStoreCall: func(time.Time, error) {},
-			Apply: func(_ uint64, objects map[string]keeper.Object) {
-				clear(got)
-				for key, o := range objects {
-					got[key] = o.Revision
+			Apply: func(u versioner.Update) {
+				list.Update(u)
+				if len(u.Objects)+len(u.Removed) > 0 {
+					updates = append(updates, u)
 				}
 			}}
 		var group errgroup.Group
@@ -72,7 +73,11 @@
 		cancel()
 		NewWithT(t).Expect(group.Wait()).To(Succeed())
 	})
-	return got
+	got = map[string]uint64{}
+	for _, o := range list.Objects() {
+		got[o.Key] = o.Revision
+	}
+	return got, updates
 }
 
 func TestWatcher(t *testing.T) {
@@ -99,19 +104,41 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := NewWithT(t)
-			g.Expect(follow(t, &tt.store, nil)).To(Equal(tt.want))
+			got, _ := follow(t, &tt.store, nil)
+			g.Expect(got).To(Equal(tt.want))
 			g.Expect(tt.store.listed).To(Equal(tt.listed))
 		})
 	}
 }
 
+// Guards against updates that repeat what did not change, which would cost each VM a pass
+// over the whole list for each change, and against an update that loses the last state of
+// an object that changed several times within one response.
+func TestUpdatesHoldOnlyChanges(t *testing.T) {
+	g := NewWithT(t)
+	deleted := func(key string) keeper.Object { return keeper.Object{Key: key, Revision: 4, Deleted: true} }
+	a, b := object("k/a", 3), object("k/b", 4)
+	s := &fakeStore{lists: []*keeper.Page{{Revision: 4, Objects: []keeper.Object{a, b}}, {Revision: 30, Objects: []keeper.Object{b}}}, watches: []*keeper.Page{
+		{Revision: 9, Objects: []keeper.Object{object("k/a", 8), object("k/a", 7), object("k/c", 5), deleted("k/c"), deleted("k/b"), object("k/b", 9)}},
+		{Revision: 11, Objects: []keeper.Object{deleted("k/b")}},
+		{TooOld: true},
+	}}
+	_, updates := follow(t, s, nil)
+	g.Expect(updates).To(Equal([]versioner.Update{
+		{Revision: 4, Objects: []keeper.Object{a, b}, Whole: true},
+		{Revision: 9, Objects: []keeper.Object{object("k/a", 8), object("k/b", 9)}, Removed: []string{"k/c"}},
+		{Revision: 11, Objects: []keeper.Object{}, Removed: []string{"k/b"}},
+		{Revision: 30, Objects: []keeper.Object{b}, Whole: true},
+	}))
+}
+
 // A VM that suspended its calls to the store must list all objects when it
 // resumes, since the store may have discarded the history in between.
 func TestSuspend(t *testing.T) {
 	g := NewWithT(t)
 	s := &fakeStore{lists: []*keeper.Page{{Revision: 4, Objects: []keeper.Object{object("k/a", 3)}}, {Revision: 30, Objects: []keeper.Object{object("k/b", 29)}}}}
 	calls := 0
-	got := follow(t, s, func(time.Time) bool {
+	got, _ := follow(t, s, func(time.Time) bool {
 		calls++
 		return calls < 10
 	})
@@ -141,7 +168,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				polls := 0
 				f := watcher.Watcher{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: timekeeper.ClockFunc(time.Now),
-					OnStoreCall: func(time.Time, error) {}, Apply: func(uint64, map[string]keeper.Object) {},
+					OnStoreCall: func(time.Time, error) {}, Apply: func(versioner.Update) {},
 					MaxBackoff: func(time.Time) time.Duration { return tt.limit },
 					Suspend: func(time.Time) bool {
 						polls++
