feat: replacements run at the platform's rate of promotion requests, urgent groups first

Cause: at most 16 replacements ran at a time, some 32 requests a second, whatever the platform accepts; a refusal because of the rate (429) counted as a failed promotion and was repeated every 40 ms; groups were taken in the order of their names. For each lost primary the store was read once and the votes of all VMs were counted ten times a second. Change: promotion requests are paced to platform.duties-rate: at once for the first 16, and never more than the rate in a second. As many replacements run as the rate and the mean duration of a replacement need, and at least 16 (fewer where the rate is lower). A 429 delays all requests by 200 ms, extends the grant of the lease, whose token must not have changed, and is not a failure. While replacements wait for the rate, the holder writes the lease twice a second, so that the standbys don't take it for inactive. Order: unfinished replacements, then lost primaries by the number of VMs that report them (only VMs that use a group notice), then leaving ones. Primaries lost at about the same time share one read of the store; votes are counted in one pass; the repair looks at the paused replicas and not at all groups.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -168,7 +168,7 @@
 	sessions *sessioner.Server, j *journaler.Journaler, st *state) *switcher.Switcher {
 	startedAt := p.Clock.Now()
 	return switcher.New(switcher.Dependencies{
-		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Announcer: v, Promoter: p.Adapter.Promoter(), Clock: p.Clock, Journal: j,
+		Name: p.Settings.VM.ID, Observer: o, Controller: d, Fleet: g, Lease: l, Announcer: v, Promoter: p.Adapter.Promoter(), PromotionRate: p.Settings.Platform.DutiesRate, Clock: p.Clock, Journal: j,
 		OnStoreCall: func(now time.Time, err error) { st.recordStoreResult(j, now, err) },
 		OnStandby:   st.standby.Store,
 		Eligible: func(now time.Time) bool {
--- a/gossiper/large_test.go
+++ b/gossiper/large_test.go
@@ -143,7 +143,7 @@
 	f := &changeTracker{known: map[int]bool{}, lost: func(n int) bool { return n%6 == 2 }}
 	fleetWith(t, 60, 6, f, func(g *WithT, _ *hub, vms []*gossiper.Gossiper, _ []*port) {
 		for n, vm := range vms {
-			lost, served := vm.Votes(time.Now(), "db", 3)
+			lost, served := vm.VoteTotals(time.Now()).Count("db", 3)
 			wantLost, wantServed := 10, 50
 			if n%6 == 2 {
 				wantLost--
--- a/gossiper/votes.go
+++ b/gossiper/votes.go
@@ -116,33 +116,6 @@
 	return out
 }
 
-// Votes returns the number of other VMs that cannot and that can use the primary of
-// a group in a term.
-func (g *Gossiper) Votes(now time.Time, group string, term uint64) (lost, served int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	own := g.countReporterVotes(now, group, term)
-	if !g.isLarge() {
-		return own.Unreachable, own.Reachable
-	}
-	fromRelay := false
-	for _, t := range g.relayedVotes(now, func(t VoteCount) bool { return t.Group == group && t.Term == term }) {
-		switch {
-		case t.Zone != g.zone:
-			lost, served = lost+t.Unreachable, served+t.Reachable
-		case t.Unreachable+t.Reachable > own.Unreachable+own.Reachable:
-			// The relay's count includes this VM.
-			own, fromRelay = t, true
-		}
-	}
-	for _, n := range g.self.Votes {
-		if fromRelay && n.Group == group && n.Term == term {
-			own.Unreachable, own.Reachable = max(0, own.Unreachable-boolToInt(n.Unreachable)), max(0, own.Reachable-boolToInt(n.Reachable && !n.Unreachable))
-		}
-	}
-	return lost + own.Unreachable, served + own.Reachable
-}
-
 // boolToInt returns 1 for true and 0 for false.
 func boolToInt(b bool) int {
 	if b {
--- a/switcher/dependencies.go
+++ b/switcher/dependencies.go
@@ -28,9 +28,9 @@
 	Alive(now time.Time) []gossiper.Peer
 	// Generation changes whenever the set of VMs that are alive and not leaving changes.
 	Generation(now time.Time) uint64
-	// Votes returns how many other VMs the primary of a term of a group does not
-	// serve, and how many it serves.
-	Votes(now time.Time, group string, term uint64) (lost, served int)
+	// VoteTotals returns how many other VMs the primaries that some VM cannot reach do not
+	// serve, and how many they serve.
+	VoteTotals(now time.Time) gossiper.VoteTotals
 	// Contested returns the groups whose primary some other VM cannot reach.
 	Contested(now time.Time) map[string]bool
 	// SendNow publishes the state of this VM to the others at once.
@@ -78,6 +78,8 @@
 	Announcer Announcer
 	// Promoter promotes instances.
 	Promoter Promoter
+	// PromotionRate is the number of promotion requests per second that the platform accepts.
+	PromotionRate float64
 	// OnStoreCall receives the error of each call to the store, nil if it responded.
 	OnStoreCall func(now time.Time, err error)
 	// OnStandby receives whether this VM checks the groups.
--- a/switcher/groupview.go
+++ b/switcher/groupview.go
@@ -64,7 +64,7 @@
 	} else {
 		lost++
 	}
-	if !v.UnservedSince.IsZero() && now.Sub(v.UnservedSince) >= lostAfter+delay && lost > served {
+	if v.mayBeLost(now) && lost > served {
 		return Lost
 	}
 	if v.Rank > 0 {
@@ -78,6 +78,12 @@
 	return Keep
 }
 
+// mayBeLost reports whether the primary has not served this VM for so long that this VM
+// replaces it if it serves only a minority of the others.
+func (v GroupView) mayBeLost(now time.Time) bool {
+	return !v.UnservedSince.IsZero() && now.Sub(v.UnservedSince) >= lostAfter+time.Duration(v.Rank)*rankDelay
+}
+
 // successorReady reports whether there is another instance that is not leaving.
 func successorReady(v GroupView) bool {
 	for _, i := range v.Instances {
--- a/switcher/inspect.go
+++ b/switcher/inspect.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -74,13 +74,16 @@
 	if len(groups) <= maxInspected {
 		return groups
 	}
-	out := make([]string, 0, maxInspected)
+	out, chosen := make([]string, 0, maxInspected), make(map[string]bool, maxInspected)
 	for n := range maxInspected {
-		out = append(out, groups[(s.inspected+n)%len(groups)])
+		group := groups[(s.inspected+n)%len(groups)]
+		out = append(out, group)
+		chosen[group] = true
 	}
 	s.inspected = (s.inspected + maxInspected) % len(groups)
 	for group, superseded := range record.Superseded {
-		if record.Opened[group] <= superseded && !slices.Contains(out, group) {
+		// A replacement in progress queries its instances itself.
+		if record.Opened[group] <= superseded && !chosen[group] && !s.isReplacing(group) {
 			out = append(out, group)
 		}
 	}
@@ -99,8 +102,8 @@
 		case r.Status == nil:
 		case r.Status.PausedTerm == 0 || r.Status.IsPrimary:
 			delete(s.pausedSince, r.Instance.ID)
-		case s.pausedSince[r.Instance.ID].IsZero():
-			s.pausedSince[r.Instance.ID] = now
+		case s.pausedSince[r.Instance.ID].since.IsZero():
+			s.pausedSince[r.Instance.ID] = pause{instance: r.Instance, since: now}
 		}
 		if known && r.Status != nil && r.Status.IsPrimary && r.Instance.ID != primary && r.Status.Term < term {
 			s.formerPrimaries = append(s.formerPrimaries, formerPrimary{instance: r.Instance, term: term})
@@ -108,6 +111,12 @@
 	}
 }
 
+// pause is a replica that is paused, with the time since which that is known.
+type pause struct {
+	instance observer.Instance
+	since    time.Time
+}
+
 // formerPrimary is a former primary that still leads, unaware of its successor in term.
 type formerPrimary struct {
 	instance observer.Instance
--- a/switcher/promoter.go
+++ b/switcher/promoter.go
@@ -8,6 +8,7 @@
 
 // Promoter promotes instances through the platform.
 type Promoter interface {
-	// Promote makes an instance the primary of its group. It is idempotent.
+	// Promote makes an instance the primary of its group. It is idempotent. It fails with
+	// ErrRateLimited if the platform has received too many requests.
 	Promote(ctx context.Context, g leaser.Grant, group, instance string) error
 }
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -38,8 +38,9 @@
 )
 
 // replace promotes a successor of the primary of a group, and returns a function that
-// opens it for writes once no VM treats the former primary as current any more.
-func (s *Switcher) replace(ctx context.Context, group string, v Decision) (open func(), err error) {
+// opens it for writes once no VM treats the former primary as current any more, and how long
+// the promotion waited for the platform's rate of requests.
+func (s *Switcher) replace(ctx context.Context, group string, v Decision) (open func(), waited time.Duration, err error) {
 	instances := s.Observer.Instances(group)
 	formerID, formerTerm, _ := s.Observer.Primary(group)
 	highest := formerTerm
@@ -55,13 +56,13 @@
 		}
 	}
 	if id, term, ok := s.Observer.Primary(group); ok && (term > formerTerm || (v == Leaderless && id != "")) {
-		return nil, errAlreadyReplaced
+		return nil, 0, errAlreadyReplaced
 	}
 	term := highest + 1
 	grant, err := s.Lease.Acquire(ctx, func(r *leaser.Record) { r.Superseded[group] = max(r.Superseded[group], formerTerm) })
 	s.reportStore(err)
 	if err != nil {
-		return nil, eris.Wrap(err, "acquiring the lease")
+		return nil, 0, eris.Wrap(err, "acquiring the lease")
 	}
 	written, record := s.Clock.Now(), s.Lease.LastKnown()
 	s.Journal.LogStateChange("replacement-begun", journaler.Group(group), journaler.F("verdict", v),
@@ -77,15 +78,16 @@
 	if !ok {
 		s.resumeReplicas(ctx, replicas)
 		s.withdrawSuperseded(ctx, group, formerTerm)
-		return nil, errNoSafeSuccessor
+		return nil, 0, errNoSafeSuccessor
 	}
-	if err := s.promote(ctx, grant, successor, term); err != nil {
-		return nil, err
+	waited, err = s.promote(ctx, grant, successor, term)
+	if err != nil {
+		return nil, waited, err
 	}
 	return func() {
 		<-announced
 		s.openWrites(ctx, group)
-	}, nil
+	}, waited, nil
 }
 
 // reportStore reports whether the store responded, so that a VM that cannot reach
@@ -162,39 +164,79 @@
 	s.queryAll(ctx, list, modeller.Statement{Kind: modeller.Resume})
 }
 
-// promote promotes the successor and waits until it leads.
-func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64) error {
-	deadline := s.Clock.Now().Add(promotionTimeout)
+// promote promotes the successor and waits until it leads. It returns how long it waited for
+// the platform's rate of requests.
+func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64) (waited time.Duration, err error) {
+	var deadline time.Time
 	accepted := false
-	for s.Clock.Now().Before(deadline) && ctx.Err() == nil {
+	for ctx.Err() == nil {
 		if !accepted {
-			if !grant.Valid(s.Clock.Now()) {
-				return errGrantExpired
-			}
-			err := s.Promoter.Promote(ctx, grant, successor.Group, successor.ID)
-			accepted = err == nil
-			if accepted {
-				s.accepted.Add(1)
+			wait := s.awaitPromotion(ctx)
+			waited += wait
+			if deadline.IsZero() {
+				deadline = s.Clock.Now().Add(promotionTimeout)
 			} else {
-				s.failed.Add(1)
+				deadline = deadline.Add(wait)
 			}
-			fields := []journaler.Field{journaler.Group(successor.Group), journaler.Instance(successor.ID),
-				journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", accepted)}
-			if err != nil {
-				fields = append(fields, journaler.Err(err))
+			if grant, err = s.extendGrant(ctx, grant); err != nil {
+				return waited, err
 			}
-			s.Journal.LogStateChange("promotion-sent", fields...)
+			err := s.sendPromotion(ctx, grant, successor, term)
+			if errors.Is(err, ErrRateLimited) {
+				s.delayPromotions()
+				continue
+			}
+			accepted = err == nil
 		}
 		sent := s.Clock.Now()
 		if st, err := s.Controller.Control(ctx, successor, modeller.Statement{Kind: modeller.Status}); err == nil && st.IsPrimary {
 			if s.Observer.ObserveStatus(s.Clock.Now(), sent, successor, st) {
 				s.announce(successor, st)
 			}
-			return nil
+			return waited, nil
+		}
+		if !s.Clock.Now().Before(deadline) {
+			break
 		}
 		timekeeper.Sleep(ctx, promotionPollInterval)
 	}
-	return errNotLeading
+	return waited, errNotLeading
+}
+
+// sendPromotion sends the platform one promotion request.
+func (s *Switcher) sendPromotion(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64) error {
+	err := s.Promoter.Promote(ctx, grant, successor.Group, successor.ID)
+	switch {
+	case err == nil:
+		s.accepted.Add(1)
+	case !errors.Is(err, ErrRateLimited):
+		s.failed.Add(1)
+	}
+	fields := []journaler.Field{journaler.Group(successor.Group), journaler.Instance(successor.ID),
+		journaler.Term(term), journaler.F("token", grant.Token), journaler.F("accepted", err == nil)}
+	if err != nil {
+		fields = append(fields, journaler.Err(err))
+	}
+	s.Journal.LogStateChange("promotion-sent", fields...)
+	return err
+}
+
+// extendGrant returns a valid grant with the token of the given one, which may have expired
+// while the promotion waited for the platform's rate of requests. After a change of the token,
+// another holder may have promoted a successor with a longer log.
+func (s *Switcher) extendGrant(ctx context.Context, grant leaser.Grant) (leaser.Grant, error) {
+	if grant.Valid(s.Clock.Now()) {
+		return grant, nil
+	}
+	extended, err := s.Lease.Acquire(ctx, nil)
+	s.reportStore(err)
+	if err != nil {
+		return grant, eris.Wrap(err, "extending the lease")
+	}
+	if extended.Token != grant.Token || !extended.Valid(s.Clock.Now()) {
+		return grant, errGrantExpired
+	}
+	return extended, nil
 }
 
 // repair steps down former primaries that still lead and resumes replicas that an
@@ -208,21 +250,23 @@
 		s.queryAll(ctx, []observer.Instance{d.instance}, modeller.Statement{Kind: modeller.StepDown, Term: d.term})
 	}
 	now := s.Clock.Now()
-	for _, group := range s.Observer.Groups() {
+	for id, p := range s.pausedSince {
+		group := p.instance.Group
 		if _, _, ok := s.Observer.Primary(group); !ok || s.isReplacing(group) {
 			continue
 		}
-		for _, i := range s.Observer.Instances(group) {
-			since, ok := s.pausedSince[i.ID]
-			if !ok || now.Sub(since) < abandonedPauseAfter {
-				continue
-			}
-			// Only the holder of the lease knows that no replacement is in progress.
-			if _, err := s.Lease.Acquire(ctx, nil); err != nil {
-				return
-			}
-			s.queryAll(ctx, []observer.Instance{i}, modeller.Statement{Kind: modeller.Resume})
-			delete(s.pausedSince, i.ID)
+		if now.Sub(p.since) < abandonedPauseAfter {
+			continue
+		}
+		if _, listed := findInstance(s.Observer.Instances(group), id); !listed {
+			delete(s.pausedSince, id)
+			continue
+		}
+		// Only the holder of the lease knows that no replacement is in progress.
+		if _, err := s.Lease.Acquire(ctx, nil); err != nil {
+			return
 		}
+		s.queryAll(ctx, []observer.Instance{p.instance}, modeller.Statement{Kind: modeller.Resume})
+		delete(s.pausedSince, id)
 	}
 }
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -44,6 +44,13 @@
 	// writes returns the number of writes of the lease by another VM; nil if there are none.
 	writes    func(now time.Time) uint64
 	published int
+	// rateLimitedFor is how long after the first promotion request the platform refuses them;
+	// requests counts them.
+	rateLimitedFor time.Duration
+	requestedAt    time.Time
+	requests       int
+	// decisions counts the logged decisions.
+	decisions map[string]int
 }
 
 func (g *group) Control(ctx context.Context, i observer.Instance, s modeller.Statement) (modeller.InstanceStatus, error) {
@@ -74,7 +81,9 @@
 
 func (g *group) Generation(time.Time) uint64 { return 1 }
 
-func (g *group) Votes(time.Time, string, uint64) (lost, served int) { return 4, 0 }
+func (g *group) VoteTotals(time.Time) gossiper.VoteTotals {
+	return gossiper.VoteTotals{{Group: "g", Term: 1}: {Unreachable: 4}}
+}
 
 func (g *group) Contested(time.Time) map[string]bool { return nil }
 
@@ -110,11 +119,22 @@
 	return leaser.Record{Holder: "other", Writes: g.writes(time.Now())}
 }
 
-func (g *group) LogStateChange(string, ...journaler.Field) {}
+func (g *group) LogStateChange(decision string, _ ...journaler.Field) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decisions[decision]++
+}
 
 func (g *group) Promote(_ context.Context, _ leaser.Grant, _, instance string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.requests++
+	if g.requestedAt.IsZero() {
+		g.requestedAt = time.Now()
+	}
+	if time.Since(g.requestedAt) < g.rateLimitedFor {
+		return switcher.ErrRateLimited
+	}
 	if g.promoted.IsZero() {
 		g.leader, g.promoted = instance, time.Now()
 	}
@@ -129,13 +149,13 @@
 
 // newSwitcher returns a Switcher of a group with two replicas.
 func newSwitcher(g *group) *switcher.Switcher {
-	g.paused = map[string]bool{}
+	g.paused, g.decisions = map[string]bool{}, map[string]int{}
 	g.observer = observer.New(func(string) time.Duration { return roundTrip }, time.Second)
 	p := observer.Instance{ID: "p", Group: "g"}
 	g.observer.SetInstances(time.Now(), []observer.Instance{p, {ID: "a", Group: "g"}, {ID: "b", Group: "g"}})
 	g.observer.ObserveStatus(time.Now(), time.Now(), p, modeller.InstanceStatus{IsPrimary: true, Term: 1})
 	return switcher.New(switcher.Dependencies{
-		Name: "vm", Observer: g.observer, Controller: g, Fleet: g, Lease: g, Announcer: g, Promoter: g,
+		Name: "vm", Observer: g.observer, Controller: g, Fleet: g, Lease: g, Announcer: g, Promoter: g, PromotionRate: 50,
 		OnStandby: func(bool) {}, OnStoreCall: g.recordStoreCall, Eligible: func(time.Time) bool { return true }, Clock: timekeeper.ClockFunc(time.Now), Journal: g,
 	})
 }
@@ -143,7 +163,13 @@
 // fail makes the primary fail, runs the Switcher for a time span and returns the
 // time of the failure.
 func fail(t *testing.T, g *group, span time.Duration) (failed time.Time) {
-	s := newSwitcher(g)
+	_, failed = failWith(t, g, span)
+	return failed
+}
+
+// failWith does so and returns the Switcher too.
+func failWith(t *testing.T, g *group, span time.Duration) (s *switcher.Switcher, failed time.Time) {
+	s = newSwitcher(g)
 	ctx, cancel := context.WithTimeout(t.Context(), span)
 	defer cancel()
 	failed = time.Now()
@@ -153,7 +179,7 @@
 	if err := s.Run(ctx); err != nil {
 		t.Fatal(err)
 	}
-	return failed
+	return s, failed
 }
 
 // A VM leaves replacements to another one only while that one writes the lease. A write
--- a/switcher/replacements.go
+++ b/switcher/replacements.go
@@ -8,11 +8,11 @@
 )
 
 // mayReplace reports whether a replacement of the primary of a group may start: none has
-// just failed, and fewer than maxPromotions are in progress.
+// just failed, and no more are in progress than the rate of promotion requests allows.
 func (s *Switcher) mayReplace(now time.Time, group string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.promoting < maxPromotions && !now.Before(s.retryAt[group])
+	return s.promoting < MaxConcurrent(s.PromotionRate, s.pace.meanDuration()) && !now.Before(s.retryAt[group])
 }
 
 // startReplacement replaces the primary of a group in the background.
@@ -22,9 +22,14 @@
 	s.promoting++
 	s.mu.Unlock()
 	s.group.Go(func() error {
-		open, err := s.replace(ctx, group, decision)
+		begun := s.Clock.Now()
+		open, waited, err := s.replace(ctx, group, decision)
 		s.mu.Lock()
 		s.promoting--
+		// Many that fail at once must not lower the concurrency of the others.
+		if took := s.Clock.Now().Sub(begun) - waited; err == nil || took > s.pace.meanDuration() {
+			s.pace.addDuration(took)
+		}
 		if err != nil {
 			s.retryAt[group] = s.Clock.Now().Add(retryDelay)
 		}
@@ -42,6 +47,24 @@
 	})
 }
 
+// renewLease renews the lease in the background while replacements that hold it wait for the
+// platform's rate of requests. Otherwise the other VMs would take this one for inactive.
+func (s *Switcher) renewLease(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	promoting := s.promoting
+	s.mu.Unlock()
+	record := s.Announcer.Record()
+	if promoting == 0 || record.Holder != s.Name || now.Sub(latest(s.lastTurnAt, s.renewedAt)) < renewInterval {
+		return
+	}
+	s.renewedAt = now
+	s.group.Go(func() error {
+		_, err := s.Lease.Acquire(ctx, nil)
+		s.reportStore(err)
+		return nil
+	})
+}
+
 // isReplacing reports whether the primary of a group is being replaced.
 func (s *Switcher) isReplacing(group string) bool {
 	s.mu.Lock()
--- a/switcher/suspects.go
+++ b/switcher/suspects.go
@@ -4,13 +4,14 @@
 	"maps"
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 )
 
 // suspects returns the groups whose primary may have to be replaced. A group of which
 // this VM knows nothing but that the platform lists a primary is not one of them, unless
 // other VMs cannot reach that primary. The first VMs ask such a primary themselves.
-func (s *Switcher) suspects(now time.Time, rank int) []string {
+func (s *Switcher) suspects(now time.Time, rank int) []observer.PrimaryView {
 	record, contested := s.Announcer.Record(), s.Fleet.Contested(now)
 	for group := range contested {
 		if rank < maxStoreCheckers && s.Observer.UnservedSince(group).IsZero() {
@@ -23,31 +24,32 @@
 		}
 		return v.Leaderless || !v.Listed || contested[v.Group]
 	})
-	out := make([]string, 0, len(views))
 	suspected := make(map[string]bool, len(views))
 	for _, v := range views {
-		out = append(out, v.Group)
 		suspected[v.Group] = true
 	}
 	for _, since := range []map[string]time.Time{s.leaderlessSince, s.supersededSince} {
 		maps.DeleteFunc(since, func(group string, _ time.Time) bool { return !suspected[group] })
 	}
-	return out
+	return views
 }
 
-// view returns the state of a group as this VM knows it.
-func (s *Switcher) view(now time.Time, group string, rank int) GroupView {
-	primary, term, known := s.Observer.Primary(group)
-	v := GroupView{Instances: s.Observer.Instances(group), Primary: primary, Known: known, UnservedSince: s.Observer.UnservedSince(group), Rank: rank}
-	if known {
-		delete(s.leaderlessSince, group)
-	} else if _, ok := s.leaderlessSince[group]; !ok {
-		s.leaderlessSince[group] = now
+// view returns the state of a group as this VM knows it. The instances matter only while the
+// primary is leaving.
+func (s *Switcher) view(now time.Time, p observer.PrimaryView, rank int, votes func() gossiper.VoteTotals) GroupView {
+	v := GroupView{Primary: p.Primary, Known: p.Known, UnservedSince: p.UnservedSince, Rank: rank}
+	if p.Leaving {
+		v.Instances = s.Observer.Instances(p.Group)
 	}
-	v.LeaderlessSince = s.leaderlessSince[group]
-	v.SupersededSince, v.HoldsLease = s.supersededTerm(now, group, term)
-	if !v.UnservedSince.IsZero() {
-		v.LostVotes, v.ServedVotes = s.Fleet.Votes(now, group, term)
+	if p.Known {
+		delete(s.leaderlessSince, p.Group)
+	} else if _, ok := s.leaderlessSince[p.Group]; !ok {
+		s.leaderlessSince[p.Group] = now
+	}
+	v.LeaderlessSince = s.leaderlessSince[p.Group]
+	v.SupersededSince, v.HoldsLease = s.supersededTerm(now, p.Group, p.Term)
+	if v.mayBeLost(now) {
+		v.LostVotes, v.ServedVotes = votes().Count(p.Group, p.Term)
 	}
 	return v
 }
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 )
 
@@ -25,9 +26,6 @@
 	inspectInterval = 5 * time.Second
 	// retryDelay is the delay after a failed replacement.
 	retryDelay = 400 * time.Millisecond
-	// maxPromotions bounds the concurrent promotions. Each takes about half a second, so the
-	// platform gets some 32 requests a second.
-	maxPromotions = 16
 	// maxStandbys is the number of VMs that check the groups. The others would have
 	// to wait for longer than it takes to notice that these have failed.
 	maxStandbys = 8
@@ -39,6 +37,9 @@
 	// holderActivePeriod is the time after a write of the lease in which its holder counts as
 	// active: a promotion takes less, and writes the lease at its start and its end.
 	holderActivePeriod = time.Second
+	// renewInterval is the interval at which a waiting holder writes the lease, so that it
+	// counts as active.
+	renewInterval = holderActivePeriod / 2
 	// rankMaxAge is how long a rank is cached while the set of live VMs is unchanged.
 	rankMaxAge = 500 * time.Millisecond
 	// duty is the key by which the VMs are ranked.
@@ -50,20 +51,21 @@
 	Dependencies
 
 	leaderlessSince map[string]time.Time
-	pausedSince     map[string]time.Time
+	pausedSince     map[string]pause
 	supersededSince map[string]time.Time
-	// storeChecked is, by group, the start of the primary failure for which the store
-	// was last checked.
-	storeChecked map[string]time.Time
-	inspectedAt  time.Time
-	inspecting   atomic.Bool
+	// storeCheckedAt is the start of the last check of the store.
+	storeCheckedAt time.Time
+	inspectedAt    time.Time
+	inspecting     atomic.Bool
 	// inspected is the index of the next group to inspect. Only inspections use it.
 	inspected int
 	lastRank  cachedRank
 	// lastTurn is the turn of the last known record, which was first seen at lastTurnAt.
 	lastTurn   uint64
 	lastTurnAt time.Time
-	group      errgroup.Group
+	// renewedAt is when this VM last renewed the lease while replacements waited.
+	renewedAt time.Time
+	group     errgroup.Group
 
 	mu sync.Mutex
 	// replacing holds the groups whose primary is being replaced, and retryAt the earliest
@@ -72,6 +74,7 @@
 	// promoting is the number of those that do not have a successor yet.
 	promoting       int
 	retryAt         map[string]time.Time
+	pace            promotionPace
 	formerPrimaries []formerPrimary
 
 	accepted, failed atomic.Uint64
@@ -79,7 +82,7 @@
 
 // New returns a Switcher.
 func New(p Dependencies) *Switcher {
-	return &Switcher{Dependencies: p, leaderlessSince: map[string]time.Time{}, pausedSince: map[string]time.Time{}, retryAt: map[string]time.Time{}, replacing: map[string]bool{}, supersededSince: map[string]time.Time{}, storeChecked: map[string]time.Time{}}
+	return &Switcher{Dependencies: p, leaderlessSince: map[string]time.Time{}, pausedSince: map[string]pause{}, retryAt: map[string]time.Time{}, replacing: map[string]bool{}, supersededSince: map[string]time.Time{}}
 }
 
 // Promotions returns the number of promotion requests of this VM that the platform
@@ -116,21 +119,38 @@
 	if rank == 0 && now.Sub(s.inspectedAt) >= inspectInterval {
 		s.startInspection(ctx, now)
 	}
-	for _, group := range s.suspects(now, rank) {
-		now = s.Clock.Now()
-		if s.isReplacing(group) {
+	s.renewLease(ctx, now)
+	candidates := s.candidates(ctx, now, rank)
+	if s.isHolderActive(now) {
+		return
+	}
+	OrderCandidates(candidates)
+	for _, c := range candidates {
+		if s.mayReplace(now, c.Group) {
+			s.startReplacement(ctx, c.Group, c.Decision)
+		}
+	}
+}
+
+// candidates returns the groups whose primary is to be replaced, except those that are being
+// replaced.
+func (s *Switcher) candidates(ctx context.Context, now time.Time, rank int) []Candidate {
+	var out []Candidate
+	votes := sync.OnceValue(func() gossiper.VoteTotals { return s.Fleet.VoteTotals(now) })
+	for _, p := range s.suspects(now, rank) {
+		if s.isReplacing(p.Group) {
 			continue
 		}
-		view := s.view(now, group, rank)
-		if rank < maxStoreCheckers {
-			s.checkStore(ctx, group, view.UnservedSince)
+		if rank < maxStoreCheckers && NeedsStoreCheck(now, p.UnservedSince, s.storeCheckedAt) {
+			s.storeCheckedAt = now
+			s.checkStore(ctx)
 		}
-		decision := DecideReplacement(now, view)
-		if decision == Keep || s.isHolderActive(now) || !s.mayReplace(now, group) {
-			continue
+		view := s.view(now, p, rank, votes)
+		if decision := DecideReplacement(now, view); decision != Keep {
+			out = append(out, Candidate{Group: p.Group, Decision: decision, Reports: view.LostVotes, Since: latest(p.UnservedSince, view.LeaderlessSince)})
 		}
-		s.startReplacement(ctx, group, decision)
 	}
+	return out
 }
 
 // startInspection inspects all instances in the background, unless the last inspection is
@@ -147,14 +167,16 @@
 	})
 }
 
+// NeedsStoreCheck reports whether to check the store for a primary that has not served since a
+// time, zero while it does. Primaries that are lost at about the same time share a check.
+func NeedsStoreCheck(now, unservedSince, lastCheck time.Time) bool {
+	return !unservedSince.IsZero() && lastCheck.Before(unservedSince) && now.Sub(lastCheck) >= storeCheckTimeout
+}
+
 // checkStore checks, as soon as a primary may be lost, whether this VM could acquire
 // the lease. A VM that has suspended its calls to the store may not know that the
 // store refuses it, and would otherwise notice only when it has to act.
-func (s *Switcher) checkStore(ctx context.Context, group string, unserved time.Time) {
-	if unserved.IsZero() || s.storeChecked[group].Equal(unserved) {
-		return
-	}
-	s.storeChecked[group] = unserved
+func (s *Switcher) checkStore(ctx context.Context) {
 	s.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 		defer cancel()
