docs: a capacity page of its own for the PostgreSQL side

docs/CAPACITY.md described the cells and coordinators of the PostgreSQL side and the relays of marigoldgauge-platform on one page, so its table of roles named roles that no platform process has. The template of each is in package estimator.

--- a/cmd/capacity.go
+++ b/cmd/capacity.go
@@ -8,13 +8,17 @@
 	"github.com/marigoldgauge/marigoldgauge/estimator"
 )
 
-// capacityCmd writes the page docs/CAPACITY.md.
+// capacityCmd writes the page docs/CAPACITY-postgresql.md or docs/CAPACITY.md.
 type capacityCmd struct {
+	Page   string `help:"Page to write: that of the PostgreSQL side, which is computed from the slopes, or that of the platform." enum:"postgresql,platform" default:"postgresql"`
 	Slopes string `help:"Output of the benchmarks." default:"docs/slopes.txt" type:"existingfile"`
 }
 
 // Run writes the page.
 func (c *capacityCmd) Run(s *session) error {
+	if c.Page == "platform" {
+		return estimator.WritePlatform(s.out)
+	}
 	f, err := os.Open(c.Slopes)
 	if err != nil {
 		return eris.Wrap(err, "opening the benchmark output")
@@ -24,5 +28,5 @@
 	if err != nil {
 		return err
 	}
-	return estimator.Write(s.out, slopes, estimator.TwoYearForecast())
+	return estimator.WritePostgreSQL(s.out, slopes, estimator.TwoYearForecast())
 }
--- a/cmd/docs_test.go
+++ b/cmd/docs_test.go
@@ -17,7 +17,8 @@
 		args []string
 	}{
 		{"../docs/CODES.md", []string{"codes", "--markdown"}},
-		{"../docs/CAPACITY.md", []string{"capacity", "--slopes", "../docs/slopes.txt"}},
+		{"../docs/CAPACITY-postgresql.md", []string{"capacity", "--slopes", "../docs/slopes.txt"}},
+		{"../docs/CAPACITY.md", []string{"capacity", "--slopes", "../docs/slopes.txt", "--page", "platform"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.page, func(t *testing.T) {
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -123,10 +123,17 @@
 	}
 }
 
-//go:embed capacity.md.tmpl
-var pageTemplate string
+// postgreSQLTemplate is the template of the page docs/CAPACITY-postgresql.md.
+//
+//go:embed capacity-postgresql.md.tmpl
+var postgreSQLTemplate string
 
-// view is the data of the page template.
+// platformPage is the page docs/CAPACITY.md.
+//
+//go:embed capacity-platform.md
+var platformPage string
+
+// view is the data of the template of the page of the PostgreSQL side.
 type view struct {
 	Size    Size
 	Budget  Budget
@@ -153,8 +160,8 @@
 	return total
 }
 
-// Write renders the capacity page to out.
-func Write(out io.Writer, s Slopes, z Size) error {
+// WritePostgreSQL renders the capacity page of the PostgreSQL side to out.
+func WritePostgreSQL(out io.Writer, s Slopes, z Size) error {
 	roles, err := Roles(s, z)
 	if err != nil {
 		return err
@@ -164,13 +171,20 @@
 		v.Calls += r.Calls
 	}
 	v.Typical = sum("control, on 63 VMs of 64", without(roles, "coordinator (one VM of 64)"))
-	t, err := template.New("capacity").Funcs(templateFuncs).Parse(pageTemplate)
+	t, err := template.New("capacity").Funcs(templateFuncs).Parse(postgreSQLTemplate)
 	if err != nil {
 		return eris.Wrap(err, "parsing the template of the capacity page")
 	}
 	return eris.Wrap(t.Execute(out, v), "rendering the capacity page")
 }
 
+// WritePlatform writes the capacity page of marigoldgauge-platform to out. Its figures are
+// measured on whole fleets and do not follow from slopes.
+func WritePlatform(out io.Writer) error {
+	_, err := io.WriteString(out, platformPage)
+	return eris.Wrap(err, "writing the capacity page of the platform")
+}
+
 // without returns the roles except the named one.
 func without(roles []Role, name string) []Role {
 	var out []Role
