perf: changes of the list of instances are compressed once for all VMs

Cause: a VM encoded and compressed the same changes, or the same whole list, for each of up to 32 VMs that requested them. Their content is unchanged.

--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -119,11 +119,14 @@
 	if err != nil {
 		after = 0
 	}
-	raw, err := json.Marshal(listing{Changes: p.State.listing.ChangesAfter(after), ChangedAt: changedAt})
-	if err != nil {
-		panic(eris.Wrap(err, "encoding the list of instances"))
-	}
-	p.writeCompressed(w, compress(raw), listingPurpose)
+	compressed := p.State.listingResponses.get(p.State.listing, after, changedAt, func(after uint64) []byte {
+		raw, err := json.Marshal(listing{Changes: p.State.listing.ChangesAfter(after), ChangedAt: changedAt})
+		if err != nil {
+			panic(eris.Wrap(err, "encoding the list of instances"))
+		}
+		return compress(raw)
+	})
+	p.writeCompressed(w, compressed, listingPurpose)
 }
 
 // writeCompressed writes a compressed response to another VM. On a write error the other
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -70,6 +70,8 @@
 	listing       *versioner.List
 	listingChange atomic.Uint64
 	instanceIDs   map[string]string
+	// listingResponses holds compressed changes of the list for other VMs.
+	listingResponses *listingResponses
 	// standby reports that this VM may have to replace primaries.
 	standby atomic.Bool
 	// watchesStore reports that this VM watches the store.
