--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	fastjson "github.com/segmentio/encoding/json"
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
@@ -53,7 +54,8 @@
 		return err
 	}
 	var l listing
-	if err := json.Unmarshal(raw, &l); err != nil {
+	// Each process that starts decodes the whole list. encoding/json takes six times as long.
+	if err := fastjson.Unmarshal(raw, &l); err != nil {
 		return eris.Wrap(err, "decoding the list of instances")
 	}
 	if l.ChangedAt == 0 {
