perf: a relay's work follows what changed in the fleet

For each digest a relay built maps of all VMs and compared them with what it had sent; for each message it ranked the VMs of all availability zones, and for each primary that it learned of those of its own; the list of VMs was sorted at each rebuild, and rebuilt at each message of a fleet that starts. Now entries are updated for the availability zones from which a relay's hash or a reporter's entry has changed, and digests collect pending changes only. The relays of an availability zone are cached until what decides them changes: a hash of its VMs, the registered VMs, attempts to reach silent ones, this VM's own state, or the time at which an attempt expires. Names are sorted after additions and deletions. A large fleet's list is rebuilt after changes at most every 20 ms.

--- a/gossiper/changes.go
+++ b/gossiper/changes.go
@@ -14,6 +14,17 @@
 	// reporting holds the VMs that report to this one, for the other relays; all holds
 	// all VMs, for the reporters.
 	reporting, all outbox
+	// own and sources are what the outboxes were last updated from: the VMs that report to
+	// this one and the fresh relays, by name. Outboxes are updated for the availability
+	// zones for which one of them has changed.
+	own     map[string]Entry
+	sources map[string]source
+}
+
+// source identifies the entries of a relay by their hash, with their availability zones.
+type source struct {
+	hash  uint64
+	zones []string
 }
 
 // newChanges returns empty changes.
@@ -25,8 +36,13 @@
 type outbox struct {
 	zones map[string]map[string]sentEntry
 	hash  uint64
+	// pending holds the entries whose last change is still to be sent.
+	pending map[entryKey]bool
 }
 
+// entryKey names an entry in an outbox.
+type entryKey struct{ zone, name string }
+
 // sentEntry is an entry and the number of digests that are still to carry its last change.
 type sentEntry struct {
 	entry   Entry
@@ -37,41 +53,35 @@
 
 // newOutbox returns an audience without entries.
 func newOutbox() outbox {
-	return outbox{zones: map[string]map[string]sentEntry{}}
+	return outbox{zones: map[string]map[string]sentEntry{}, pending: map[entryKey]bool{}}
 }
 
-// update applies the entries of the live VMs, by availability zone and name.
-func (a *outbox) update(alive map[string]map[string]Entry) {
-	for zone, entries := range alive {
-		known := a.zones[zone]
-		if known == nil {
-			known = map[string]sentEntry{}
-			a.zones[zone] = known
+// updateZone applies the entries of the live VMs of an availability zone, by name.
+func (a *outbox) updateZone(zone string, alive map[string]Entry) {
+	known := a.zones[zone]
+	if known == nil {
+		known = map[string]sentEntry{}
+		a.zones[zone] = known
+	}
+	for name, e := range alive {
+		if t, ok := known[name]; ok && !t.removed && t.entry == e {
+			continue
 		}
-		for name, e := range entries {
-			if t, ok := known[name]; ok && !t.removed && t.entry == e {
-				continue
-			}
+		a.unhash(known, name)
+		h := e.hash(zone)
+		a.hash ^= h
+		known[name] = sentEntry{entry: e, hash: h, repeats: changeRepeats}
+		a.pending[entryKey{zone, name}] = true
+	}
+	for name, t := range known {
+		if _, ok := alive[name]; !ok && !t.removed {
 			a.unhash(known, name)
-			h := e.hash(zone)
-			a.hash ^= h
-			known[name] = sentEntry{entry: e, hash: h, repeats: changeRepeats}
+			known[name] = sentEntry{entry: t.entry, repeats: changeRepeats, removed: true}
+			a.pending[entryKey{zone, name}] = true
 		}
 	}
-	for zone, known := range a.zones {
-		for name, t := range known {
-			switch _, ok := alive[zone][name]; {
-			case ok:
-			case !t.removed:
-				a.unhash(known, name)
-				known[name] = sentEntry{entry: t.entry, repeats: changeRepeats, removed: true}
-			case t.repeats == 0:
-				delete(known, name)
-			}
-		}
-		if len(known) == 0 {
-			delete(a.zones, zone)
-		}
+	if len(known) == 0 {
+		delete(a.zones, zone)
 	}
 }
 
@@ -84,28 +94,44 @@
 
 // nextChanges returns the changes for the next digest.
 func (a *outbox) nextChanges() []ZoneEntries {
-	var out []ZoneEntries
-	for zone, known := range a.zones {
-		s := ZoneEntries{Zone: zone}
-		for name, t := range known {
-			if t.repeats == 0 {
-				continue
-			}
-			t.repeats--
-			known[name] = t
-			if t.removed {
-				s.Removed = append(s.Removed, name)
-			} else {
-				s.Entries = append(s.Entries, t.entry)
-			}
+	sets := map[string]*ZoneEntries{}
+	for key := range a.pending {
+		s := sets[key.zone]
+		if s == nil {
+			s = &ZoneEntries{Zone: key.zone}
+			sets[key.zone] = s
 		}
-		if len(s.Entries)+len(s.Removed) > 0 {
-			out = append(out, s)
+		known := a.zones[key.zone]
+		t := known[key.name]
+		t.repeats--
+		known[key.name] = t
+		if t.removed {
+			s.Removed = append(s.Removed, key.name)
+		} else {
+			s.Entries = append(s.Entries, t.entry)
+		}
+		if t.repeats == 0 {
+			a.settle(key, t)
 		}
 	}
+	out := make([]ZoneEntries, 0, len(sets))
+	for _, s := range sets {
+		out = append(out, *s)
+	}
 	return out
 }
 
+// settle records that the last change of an entry was sent.
+func (a *outbox) settle(key entryKey, t sentEntry) {
+	delete(a.pending, key)
+	if t.removed {
+		delete(a.zones[key.zone], key.name)
+	}
+	if len(a.zones[key.zone]) == 0 {
+		delete(a.zones, key.zone)
+	}
+}
+
 // zoneState returns all entries of one availability zone.
 func (a *outbox) zoneState(zone string) ZoneEntries {
 	s := ZoneEntries{Zone: zone, Full: true}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -78,7 +78,14 @@
 	relayStates map[string]*relayState
 	// triedAt holds the time of the first message sent to a VM as a relay that it has
 	// not responded to.
-	triedAt  map[string]time.Time
+	triedAt map[string]time.Time
+	// seedChanges and attemptChanges count the changes of seeds and triedAt. zonesOfSeeds
+	// holds the availability zones of the seeds as of the change zonesAsOf.
+	seedChanges, attemptChanges, zonesAsOf uint64
+
+	zonesOfSeeds map[string]bool
+	relayLists   map[string]*relayList
+
 	seeded   bool
 	seededAt time.Time
 	sequence uint64
@@ -98,7 +105,7 @@
 		transport: t, clock: c, process: process, counter: counter, name: name, zone: zone, compose: compose, onMessage: onMessage, topics: map[Topic]topic{},
 		issuer: timestamper.NewIssuer(process, c.Now()), peerStamps: timestamper.NewCache[netip.AddrPort](), sendNow: make(chan struct{}, 1),
 		peers: map[string]*Peer{}, seeds: map[string]*seed{}, relayStates: map[string]*relayState{}, triedAt: map[string]time.Time{}, changes: newChanges(),
-		exchanges: newExchanges(rand.Uint32()),
+		exchanges: newExchanges(rand.Uint32()), relayLists: map[string]*relayList{},
 	}
 }
 
--- a/gossiper/relays.go
+++ b/gossiper/relays.go
@@ -26,20 +26,42 @@
 )
 
 // relays returns the names of the relays of an availability zone, including this
-// VM if it is one. The caller must hold g.mu.
+// VM if it is one. The result is shared and must not be modified. The caller must hold
+// g.mu.
 func (g *Gossiper) relays(now time.Time, zone string) []string {
+	basis := relayBasis{seeds: g.seedChanges, attempts: g.attemptChanges}
+	if z := g.currentRoster(now).zones[zone]; z != nil {
+		basis.candidacy = z.candidacy
+	}
+	if zone == g.zone {
+		basis.leaving, basis.capacity = g.self.Leaving, g.self.Capacity
+	}
+	c := g.relayLists[zone]
+	if c == nil || c.basis != basis || (!c.validUntil.IsZero() && !now.Before(c.validUntil)) {
+		c = &relayList{basis: basis}
+		c.names = g.rankRelays(now, zone, c)
+		g.relayLists[zone] = c
+	}
+	return c.names
+}
+
+// rankRelays returns the names of the relays of an availability zone, and sets the time
+// until which they are valid. The caller must hold g.mu.
+func (g *Gossiper) rankRelays(now time.Time, zone string, c *relayList) []string {
 	var alive, silent []string
-	for name, m := range g.currentRoster(now).known {
-		switch {
-		case m.AvailabilityZone != zone || m.Leaving:
-		case m.alive:
-			alive = append(alive, name)
-		case g.shouldTry(now, name):
-			silent = append(silent, name)
+	if z := g.roster.zones[zone]; z != nil {
+		for _, m := range z.members {
+			switch {
+			case m.Leaving:
+			case m.alive:
+				alive = append(alive, m.Name)
+			case g.shouldTry(now, m.Name, c):
+				silent = append(silent, m.Name)
+			}
 		}
 	}
 	for name, s := range g.seeds {
-		if _, known := g.roster.known[name]; !known && s.AvailabilityZone == zone && g.shouldTry(now, name) {
+		if _, known := g.roster.known[name]; !known && s.AvailabilityZone == zone && g.shouldTry(now, name, c) {
 			alive = append(alive, name)
 		}
 	}
@@ -76,20 +98,34 @@
 }
 
 // shouldTry reports whether a silent VM may still be alive and should be sent
-// messages. The caller must hold g.mu.
-func (g *Gossiper) shouldTry(now time.Time, name string) bool {
+// messages, and limits the validity of a list of relays to the time until that changes.
+// The caller must hold g.mu.
+func (g *Gossiper) shouldTry(now time.Time, name string, c *relayList) bool {
 	tried, ok := g.triedAt[name]
-	return !ok || now.Sub(tried) < tryTimeout || now.Sub(tried) > retryAfter
+	if !ok {
+		return true
+	}
+	for _, change := range []time.Duration{tryTimeout, retryAfter + 1} {
+		if at := tried.Add(change); now.Before(at) {
+			c.limit(at)
+		}
+	}
+	return now.Sub(tried) < tryTimeout || now.Sub(tried) > retryAfter
 }
 
 // recordAttempt records that a message is sent to a VM as a relay. The caller must hold g.mu.
 func (g *Gossiper) recordAttempt(now time.Time, name string) {
+	tried, ok := g.triedAt[name]
 	if m := g.roster.known[name]; m != nil && m.alive {
-		delete(g.triedAt, name)
+		if ok {
+			delete(g.triedAt, name)
+			g.attemptChanges++
+		}
 		return
 	}
-	if tried, ok := g.triedAt[name]; !ok || now.Sub(tried) > retryAfter {
+	if !ok || now.Sub(tried) > retryAfter {
 		g.triedAt[name] = now
+		g.attemptChanges++
 	}
 }
 
@@ -150,11 +186,11 @@
 // digests and those that the ranking selects. The caller must hold g.mu.
 func (g *Gossiper) addCrossZone(now time.Time, to map[netip.AddrPort]bool) {
 	zones := map[string]bool{}
-	for _, s := range g.seeds {
-		zones[s.AvailabilityZone] = true
+	for zone := range g.seedZones() {
+		zones[zone] = true
 	}
-	for _, m := range g.roster.known {
-		zones[m.AvailabilityZone] = true
+	for zone := range g.currentRoster(now).zones {
+		zones[zone] = true
 	}
 	delete(zones, g.zone)
 	for _, s := range g.relayStates {
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -11,11 +11,20 @@
 // maxRosterAge is the maximum age of the cached list of VMs.
 const maxRosterAge = interval / 2
 
+// minRosterAge is the minimum age at which the list of a large fleet is rebuilt after a
+// change. When all VMs start, changes arrive hundreds of times a second.
+const minRosterAge = 20 * time.Millisecond
+
 // roster is the cached list of VMs. It is rebuilt only after a change or when it is
 // older than maxRosterAge.
 type roster struct {
 	builtAt time.Time
 	stale   bool
+	// names holds the names of known in ascending order, unless unsorted is set.
+	names    []string
+	unsorted bool
+	// zones holds the VMs of known by availability zone.
+	zones map[string]*zoneRoster
 	// generation counts the changes of the set of VMs that are alive and not leaving.
 	generation uint64
 	checksum   uint64
@@ -25,17 +34,25 @@
 	near  []Peer
 }
 
+// zoneRoster holds the VMs of an availability zone. candidacy is a hash of what decides
+// which of them are relays.
+type zoneRoster struct {
+	members   []*member
+	candidacy uint64
+}
+
 // member is a VM of the fleet. alive reports that a message of it, or an entry in a
-// digest, was received recently.
+// digest, was received recently, and bare that it is known only by its entry.
 type member struct {
 	Peer
-	alive bool
+	alive, bare bool
 }
 
 // currentRoster returns an up-to-date roster. The caller must hold g.mu.
 func (g *Gossiper) currentRoster(now time.Time) *roster {
 	r := &g.roster
-	if r.known == nil || r.stale || now.Sub(r.builtAt) >= maxRosterAge {
+	age := now.Sub(r.builtAt)
+	if r.known == nil || age >= maxRosterAge || (r.stale && (age >= minRosterAge || !g.isLarge())) {
 		g.rebuildRoster(now)
 	}
 	return r
@@ -62,19 +79,26 @@
 	for _, p := range g.peers {
 		r.addMessage(*p, now.Sub(p.Heard) < silenceTimeout)
 	}
-	r.alive, r.near = nil, nil
-	for _, name := range slices.Sorted(maps.Keys(r.known)) {
+	r.sortNames()
+	// The lists of the previous roster may still be in use.
+	r.alive, r.near = make([]Peer, 0, len(r.alive)), make([]Peer, 0, len(r.near))
+	r.zones = make(map[string]*zoneRoster, len(r.zones))
+	for _, name := range r.names {
 		m := r.known[name]
-		switch {
-		case now.Sub(m.Heard) > forgetTimeout:
+		if now.Sub(m.Heard) > forgetTimeout {
 			delete(r.known, name)
-		case m.alive && m.AvailabilityZone == g.zone:
-			r.near = append(r.near, m.Peer)
-			fallthrough
-		case m.alive:
+			r.unsorted = true
+			continue
+		}
+		r.addToZone(m)
+		if m.alive {
 			r.alive = append(r.alive, m.Peer)
+			if m.AvailabilityZone == g.zone {
+				r.near = append(r.near, m.Peer)
+			}
 		}
 	}
+	r.sortNames()
 	if sum := checksum(r.alive); sum != r.checksum {
 		r.checksum = sum
 		r.generation++
@@ -85,34 +109,73 @@
 func (r *roster) merge(s *relayState, self string) {
 	for zone, entries := range s.zones {
 		for name, e := range entries {
-			if name != self {
-				r.add(Peer{Message: e.message(zone), Heard: s.heardAt}, true)
+			if name == self {
+				continue
+			}
+			m := r.known[name]
+			if m != nil && m.bare && m.AvailabilityZone == zone && m.entry() == e {
+				m.alive = true
+				if s.heardAt.After(m.Heard) {
+					m.Heard = s.heardAt
+				}
+				continue
 			}
+			r.add(Peer{Message: e.message(zone), Heard: s.heardAt}, true, true)
 		}
 	}
 }
 
 // addMessage adds a VM's own message, which holds more than an entry.
 func (r *roster) addMessage(p Peer, fresh bool) {
-	r.add(p, fresh)
+	r.add(p, fresh, false)
 	if m := r.known[p.Name]; fresh && m.Incarnation <= p.Incarnation {
-		m.Peer = p
+		m.Peer, m.bare = p, false
 	}
 }
 
-// add adds a VM of which a message or an entry was received.
-func (r *roster) add(p Peer, alive bool) {
+// add adds a VM of which a message or, with bare set, an entry was received.
+func (r *roster) add(p Peer, alive, bare bool) {
 	m := r.known[p.Name]
 	if m == nil {
-		r.known[p.Name] = &member{Peer: p, alive: alive}
+		r.known[p.Name] = &member{Peer: p, alive: alive, bare: bare}
+		r.unsorted = true
 		return
 	}
 	m.alive = m.alive || alive
 	if p.Heard.After(m.Heard) && (p.Incarnation >= m.Incarnation || alive) {
-		m.Peer = p
+		m.Peer, m.bare = p, bare
 	}
 }
 
+// sortNames updates the names after VMs were added or deleted.
+func (r *roster) sortNames() {
+	if r.unsorted {
+		r.names, r.unsorted = slices.Sorted(maps.Keys(r.known)), false
+	}
+}
+
+// addToZone adds a VM to its availability zone. VMs are added in ascending order of name.
+func (r *roster) addToZone(m *member) {
+	z := r.zones[m.AvailabilityZone]
+	if z == nil {
+		z = &zoneRoster{}
+		r.zones[m.AvailabilityZone] = z
+	}
+	z.members = append(z.members, m)
+	state := uint64(m.Capacity) << 2
+	if m.alive {
+		state |= 1
+	}
+	if m.Leaving {
+		state |= 2
+	}
+	// An odd multiplier makes the hash depend on the order of the VMs.
+	z.candidacy = z.candidacy*candidacyFactor + (maphash.String(checksumSeed, m.Name) ^ state)
+}
+
+// candidacyFactor is the multiplier of the hash of a zoneRoster.
+const candidacyFactor = 0x9e3779b97f4a7c15
+
 // checksumSeed is the hash seed that makes the checksums of one process comparable.
 var checksumSeed = maphash.MakeSeed()
 
--- a/gossiper/seeds.go
+++ b/gossiper/seeds.go
@@ -32,6 +32,7 @@
 	for name := range g.seeds {
 		if _, ok := vms[name]; !ok {
 			delete(g.seeds, name)
+			g.seedChanges++
 		}
 	}
 	if !g.seeded {
@@ -45,10 +46,23 @@
 func (g *Gossiper) addSeed(now time.Time, name string, s Seed) {
 	if have := g.seeds[name]; have == nil || have.Seed != s {
 		g.seeds[name] = &seed{Seed: s, addedAt: now}
+		g.seedChanges++
 		g.roster.stale = true
 	}
 }
 
+// seedZones returns the availability zones of the registered VMs. The result is shared and
+// must not be modified. The caller must hold g.mu.
+func (g *Gossiper) seedZones() map[string]bool {
+	if g.zonesAsOf != g.seedChanges {
+		g.zonesAsOf, g.zonesOfSeeds = g.seedChanges, map[string]bool{}
+		for _, s := range g.seeds {
+			g.zonesOfSeeds[s.AvailabilityZone] = true
+		}
+	}
+	return g.zonesOfSeeds
+}
+
 // sendGreetings announces this VM to the VMs of its availability zone, which may have read
 // the register before this VM was added.
 func (g *Gossiper) sendGreetings(vms map[string]Seed) {
--- a/gossiper/sending.go
+++ b/gossiper/sending.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -156,8 +157,47 @@
 	return &g.changes.all
 }
 
-// updateEntries updates the entries that this VM sends. The caller must hold g.mu.
+// updateEntries updates the entries that this VM sends, for the availability zones in
+// which something has changed. The caller must hold g.mu.
 func (g *Gossiper) updateEntries(now time.Time) {
+	c := &g.changes
+	changed := map[string]bool{}
+	if own := g.ownEntries(now); !maps.Equal(own, c.own) {
+		c.own = own
+		c.reporting.updateZone(g.zone, own)
+		changed[g.zone] = true
+	}
+	sources := make(map[string]source, len(c.sources))
+	for name, s := range g.relayStates {
+		if !s.reporting || !s.fresh(now, g.zone) {
+			continue
+		}
+		before, ok := c.sources[name]
+		if ok && before.hash == s.hash {
+			sources[name] = before
+			continue
+		}
+		sources[name] = source{hash: s.hash, zones: slices.Collect(maps.Keys(s.zones))}
+		for _, zone := range slices.Concat(before.zones, sources[name].zones) {
+			changed[zone] = true
+		}
+	}
+	for name, before := range c.sources {
+		if _, ok := sources[name]; !ok {
+			for _, zone := range before.zones {
+				changed[zone] = true
+			}
+		}
+	}
+	c.sources = sources
+	for zone := range changed {
+		c.all.updateZone(zone, g.zoneEntries(zone))
+	}
+}
+
+// ownEntries returns the entries of this VM and of the VMs that report to it. The caller
+// must hold g.mu.
+func (g *Gossiper) ownEntries(now time.Time) map[string]Entry {
 	own := map[string]Entry{}
 	if g.self.Name != "" {
 		own[g.name] = g.self.entry()
@@ -167,26 +207,24 @@
 			own[name] = p.entry()
 		}
 	}
-	g.changes.reporting.update(map[string]map[string]Entry{g.zone: own})
-	all := map[string]map[string]Entry{g.zone: own}
-	for _, s := range g.relayStates {
-		if !s.reporting || !s.fresh(now, g.zone) {
-			continue
-		}
-		for zone, entries := range s.zones {
-			have := all[zone]
-			if have == nil {
-				have = map[string]Entry{}
-				all[zone] = have
-			}
-			for name, e := range entries {
-				if old, ok := have[name]; !ok || old.Incarnation < e.Incarnation {
-					have[name] = e
-				}
+	return own
+}
+
+// zoneEntries returns the entries of an availability zone from the sources of g.changes.
+// The caller must hold g.mu.
+func (g *Gossiper) zoneEntries(zone string) map[string]Entry {
+	all := map[string]Entry{}
+	if zone == g.zone {
+		maps.Copy(all, g.changes.own)
+	}
+	for relay := range g.changes.sources {
+		for name, e := range g.relayStates[relay].zones[zone] {
+			if old, ok := all[name]; !ok || old.Incarnation < e.Incarnation {
+				all[name] = e
 			}
 		}
 	}
-	g.changes.all.update(all)
+	return all
 }
 
 // send sends a message to a VM.
--- a/gossiper/votes.go
+++ b/gossiper/votes.go
@@ -54,7 +54,7 @@
 			add(n.Group, n.Term)
 		}
 	}
-	for _, p := range g.reporters() {
+	for _, p := range g.peers {
 		for _, n := range p.Groups {
 			if n.Unreachable && now.Sub(p.Heard) <= voteTimeout {
 				add(n.Group, n.Term)
@@ -82,15 +82,6 @@
 	return out
 }
 
-// reporters returns the VMs that report to this one. The caller must hold g.mu.
-func (g *Gossiper) reporters() []Peer {
-	out := make([]Peer, 0, len(g.peers))
-	for _, p := range g.peers {
-		out = append(out, *p)
-	}
-	return out
-}
-
 // relayedVotes returns the votes counted by other relays that pass, the largest count for
 // each availability zone. The caller must hold g.mu.
 func (g *Gossiper) relayedVotes(now time.Time, pass func(t VoteCount) bool) []VoteCount {
