perf: relays forward known primaries once; full states are selected by number

Relays now forward a discovery of another VM once; the VM that made it announces it twice, as before.

--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -90,7 +90,7 @@
 	for _, v := range views {
 		g := publisher.Group{
 			Known: v.Known, Leaderless: leaderless[v.Group], PrimarySince: v.Since, Discovered: v.Discovered, Source: n.source(v), Contested: contested[v.Group],
-			Shared: n.Holders.IsShared(now, v.Group), Position: v.Position, SampledAt: v.SampledAt,
+			Shared: publisher.IsUsable(now, v.Position, v.SampledAt) && n.Holders.IsShared(now, v.Group), Position: v.Position, SampledAt: v.SampledAt,
 		}
 		lost := !v.UnservedSince.IsZero() && now.Sub(v.UnservedSince) > unreachableThreshold
 		if g.Leaderless {
--- a/publisher/group.go
+++ b/publisher/group.go
@@ -57,9 +57,22 @@
 	return g.Source == FromFullState || (g.Source == FromRelay && (to == gossiper.ToOwnRelays || to == gossiper.ToRelays))
 }
 
+// discoveryRepeats returns the number of announcements of a primary that is not new.
+func (g *Group) discoveryRepeats(to gossiper.Audience) int {
+	if g.Source != FromInstance && to != gossiper.ToOwnRelays {
+		return 1
+	}
+	return discoveryRepeats
+}
+
 // hasPosition reports whether a position is known that is of use to other VMs.
 func (g *Group) hasPosition(now time.Time) bool {
-	return g.Position != (tracker.Position{}) && now.Sub(g.SampledAt) <= maxPositionAge
+	return IsUsable(now, g.Position, g.SampledAt)
+}
+
+// IsUsable reports whether a position sampled at a time is of use to other VMs.
+func IsUsable(now time.Time, p tracker.Position, sampledAt time.Time) bool {
+	return p != (tracker.Position{}) && now.Sub(sampledAt) <= maxPositionAge
 }
 
 // isNewPosition reports whether a position is to be sent that was not sent before.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -26,7 +26,8 @@
 	// maxAnnouncements bounds the announcements of a message, in entries of some 45 bytes.
 	maxAnnouncements = 256
 	// maxDiscoveries bounds those of primaries that are not new, which spare other VMs
-	// status requests, and discoveryRepeats the number of their announcements.
+	// status requests, and discoveryRepeats the number of their announcements by the VM that
+	// discovered them. Relays forward them once: each receiver has two relays that do.
 	maxDiscoveries   = 32
 	discoveryRepeats = 2
 	// maxFullState bounds the groups of which a VM that has just started gets the state. It
@@ -127,13 +128,11 @@
 // started also gets the positions of their primaries.
 func allStates(now time.Time, to gossiper.Audience, groups []Group) []gossiper.GroupStatus {
 	if to == gossiper.ToNewVM && len(groups) > maxFullState {
-		// The latest primaries are those that other VMs have not known for long.
-		groups = slices.Clone(groups)
-		slices.SortStableFunc(groups, func(a, b Group) int { return b.PrimarySince.Compare(a.PrimarySince) })
-		groups = groups[:maxFullState]
+		groups = latest(groups)
 	}
 	var out []gossiper.GroupStatus
-	for _, g := range groups {
+	for n := range groups {
+		g := &groups[n]
 		switch {
 		case !g.Known:
 		case to == gossiper.ToNewVM && g.Shared && g.hasPosition(now):
@@ -145,6 +144,24 @@
 	return out
 }
 
+// latest returns the maxFullState groups with the latest primaries, which are those that
+// other VMs have not known for long, the latest first.
+func latest(groups []Group) []Group {
+	order := make([]int32, len(groups))
+	for n := range order {
+		order[n] = int32(n)
+	}
+	// Sorting the numbers spares moving the groups, which are many times as large.
+	slices.SortFunc(order, func(a, b int32) int {
+		return cmp.Or(groups[b].PrimarySince.Compare(groups[a].PrimarySince), cmp.Compare(a, b))
+	})
+	out := make([]Group, maxFullState)
+	for n := range out {
+		out[n] = groups[order[n]]
+	}
+	return out
+}
+
 // sendsPositions reports whether a message includes positions. The caller holds the lock.
 func (p *Publisher) sendsPositions(now time.Time, to gossiper.Audience) bool {
 	switch to {
@@ -184,7 +201,7 @@
 		case now.Sub(s.announcedAt) < announcementInterval:
 		case !g.Discovered:
 			changes = append(changes, name)
-		case s.repeats < discoveryRepeats:
+		case s.repeats < g.discoveryRepeats(to):
 			discoveries = append(discoveries, name)
 		}
 	}
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -55,6 +55,9 @@
 		{"a new primary", gossiper.ToReporters, 1, nil, 5, 5, 1},
 		{"many new primaries", gossiper.ToRelays, 3000, nil, 4, 5, 256},
 		{"a primary that is not new", gossiper.ToReporters, 1, func(g *publisher.Group) { g.Discovered = true }, 2, 2, 1},
+		{"one that a reporter discovered, to reporters", gossiper.ToReporters, 1, func(g *publisher.Group) { g.Discovered, g.Source = true, publisher.FromReporter }, 1, 1, 1},
+		{"one that a reporter discovered, to relays", gossiper.ToRelays, 1, func(g *publisher.Group) { g.Discovered, g.Source = true, publisher.FromReporter }, 1, 1, 1},
+		{"one that a relay announced, to reporters", gossiper.ToReporters, 1, func(g *publisher.Group) { g.Discovered, g.Source = true, publisher.FromRelay }, 1, 1, 1},
 		{"many that are not new", gossiper.ToReporters, 3000, func(g *publisher.Group) { g.Discovered = true }, 0, 2, 32},
 		{"heard from a relay, to relays", gossiper.ToRelays, 1, func(g *publisher.Group) { g.Source = publisher.FromRelay }, 0, 0, 0},
 		{"heard from a relay, to own relays", gossiper.ToOwnRelays, 1, func(g *publisher.Group) { g.Source = publisher.FromRelay }, 0, 0, 0},
@@ -161,3 +164,19 @@
 		})
 	}
 }
+
+// A VM that starts gets the latest primaries, the latest first: VMs that have been up for
+// longer know the others, and it would ask the instances for those that change.
+func TestFullStateHasTheLatestPrimaries(t *testing.T) {
+	g := NewWithT(t)
+	n := 0
+	groups := newGroups(1000, func(g *publisher.Group) {
+		g.PrimarySince = start.Add(time.Duration(n*7%1000) * time.Second)
+		n++
+	})
+	states := publisher.New().Select(start, gossiper.ToNewVM, groups)
+	g.Expect(states).To(HaveLen(256))
+	for i, s := range states {
+		g.Expect(s.Group).To(Equal(fmt.Sprintf("g-%04d", (999-i)*143%1000)))
+	}
+}
