perf: VMs that start together get the same states of groups

A relay composed its message with the states of all groups for each request of the full state, also for receivers that need no groups, such as other relays.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -91,6 +91,7 @@
 	sequence uint64
 	// knowsGroups reports that a relay has sent the states of all groups.
 	knowsGroups bool
+	newVMGroups groupStates
 	rounds      int
 	changes     changes
 	roster      roster
--- a/gossiper/receiving.go
+++ b/gossiper/receiving.go
@@ -221,10 +221,7 @@
 // sendFullState sends a VM the full state that it should have from this one, one datagram
 // per availability zone, and with the first one the states of the groups if it needs them.
 func (g *Gossiper) sendFullState(now time.Time, at netip.AddrPort, withGroups bool) {
-	m := g.nextMessage(now, ToNewVM)
-	if !withGroups {
-		m.Groups = nil
-	}
+	m := g.fullStateMessage(now, withGroups)
 	g.mu.Lock()
 	to := ToRelays
 	if r := g.receivers(now, true); r.reporters[at] || r.otherReporters[at] {
