fix: the lost primaries of groups that nobody uses are found at the loss of a zone

Cause: only VMs that use a group notice that its primary is lost, and the inspection asks the primaries of 20 groups a second. After the loss of a zone of a large fleet, some groups were first used seconds later, and their callers waited for the whole replacement: the VM that refused a read 5 s after the loss in TestControlTraffic/300_VMs. Change: once three primaries don't serve the first two VMs, these ask all other known primaries in the same availability zones for their status, eight for each promotion that the platform accepts (400 a second at the default rate).

--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -59,6 +59,7 @@
 	inspecting     atomic.Bool
 	// inspected is the index of the next group to inspect. Only inspections use it.
 	inspected int
+	sweep     sweep
 	lastRank  cachedRank
 	// lastTurn is the turn of the last known record, which was first seen at lastTurnAt.
 	lastTurn   uint64
@@ -137,7 +138,11 @@
 func (s *Switcher) candidates(ctx context.Context, now time.Time, rank int) []Candidate {
 	var out []Candidate
 	votes := sync.OnceValue(func() gossiper.VoteTotals { return s.Fleet.VoteTotals(now) })
-	for _, p := range s.suspects(now, rank) {
+	suspects := s.suspects(now, rank)
+	if rank < maxStoreCheckers {
+		s.sweepPrimaries(now, suspects)
+	}
+	for _, p := range suspects {
 		if s.isReplacing(p.Group) {
 			continue
 		}
