fix: a holder of the lease that is cut off from the platform leaves replacements to others

Cause: a VM that reaches the store but not the platform's promotions renewed the lease with each try, so that no other VM could replace the lost primaries. While the platform is down for all VMs, they take turns, so the first promotion after its return may come some seconds later than before.

--- a/switcher/rank.go
+++ b/switcher/rank.go
@@ -10,7 +10,7 @@
 
 // rank returns the rank of this VM among those that may replace primaries, or -1.
 func (s *Switcher) rank(now time.Time) int {
-	if !s.Eligible(now) {
+	if !s.Eligible(now) || s.abstains(now) {
 		return -1
 	}
 	holder, generation := s.Announcer.Record().Holder, s.Fleet.Generation(now)
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -178,6 +178,10 @@
 			} else {
 				deadline = deadline.Add(wait)
 			}
+			if s.abstains(s.Clock.Now()) {
+				// An extension would keep the lease from the VMs that reach the platform.
+				return waited, ErrPlatformUnreachable
+			}
 			if grant, err = s.extendGrant(ctx, grant); err != nil {
 				return waited, err
 			}
@@ -206,6 +210,12 @@
 // sendPromotion sends the platform one promotion request.
 func (s *Switcher) sendPromotion(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64) error {
 	err := s.Promoter.Promote(ctx, grant, successor.Group, successor.ID)
+	s.mu.Lock()
+	abstains := s.contact.record(s.Clock.Now(), err)
+	s.mu.Unlock()
+	if abstains {
+		s.Journal.LogStateChange("platform-unreachable", journaler.F("leaves-replacements-for", abstentionPeriod))
+	}
 	switch {
 	case err == nil:
 		s.accepted.Add(1)
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -76,6 +76,7 @@
 	promoting       int
 	retryAt         map[string]time.Time
 	pace            promotionPace
+	contact         platformContact
 	formerPrimaries []formerPrimary
 
 	accepted, failed atomic.Uint64
