--- a/switcher/sweep.go
+++ b/switcher/sweep.go
@@ -68,11 +68,11 @@
 			zones[i.AvailabilityZone] = true
 		}
 	}
-	views := s.Observer.PrimaryViews(now, func(v *observer.PrimaryView) bool {
-		return v.Known && v.UnservedSince.IsZero() && now.Sub(v.RespondedAt) > lostAfter
-	})
 	var out []string
-	for _, v := range views {
+	for _, v := range s.Observer.PrimaryViews(now) {
+		if !v.Known || !v.UnservedSince.IsZero() || now.Sub(v.RespondedAt) <= lostAfter {
+			continue
+		}
 		if i, ok := findInstance(s.Observer.Instances(v.Group), v.Primary); ok && zones[i.AvailabilityZone] {
 			out = append(out, v.Group)
 		}
