fix: a primary that has just been discovered does not count as lost

Cause: the dispatcher asked for the primary first and then whether one was ever known. Seen in 1 of 6 runs of TestLossOfUnusedPrimaries, at the first write, with primary-known=true in the refusal. Change: the order of the two calls.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -153,6 +153,8 @@
 // primaryState returns what this VM knows about the primary of a group.
 func (d *Dispatcher) primaryState(now time.Time, group string) shedder.PrimaryState {
 	s := shedder.PrimaryState{LostSince: d.Observer.SilentSince(now, group), FailoverTime: d.Observer.FailoverGap(group), WritesOpenAt: d.Observer.WritesOpenAt(now, group)}
+	// A primary that is discovered between the two calls must not count as lost.
+	discovered := d.Observer.WasDiscovered(group)
 	_, _, known := d.Observer.Primary(group)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -163,7 +165,7 @@
 	if d.primaryUnknownSince[group].IsZero() {
 		d.primaryUnknownSince[group] = now
 	}
-	if since := d.primaryUnknownSince[group]; s.LostSince.IsZero() && (now.Sub(since) >= discoveryTime || d.Observer.WasDiscovered(group)) {
+	if since := d.primaryUnknownSince[group]; s.LostSince.IsZero() && (now.Sub(since) >= discoveryTime || discovered) {
 		s.LostSince = since
 	}
 	return s
