perf: the loss of a zone does not send the whole list of instances to all VMs

Cause: versioner.List remembered 1,024 removed objects. A zone has 4,000 of 12,000 instances, so after its loss each VM would fetch and decode the whole list. Change: as many removed objects as there are objects are remembered, at least 1,024. Tests also cover the compaction of the log and objects that are listed again; each was seen to fail with a mutation of the code that it guards. Measured: TestRemovalOfAThird, 2,000 of 6,000 objects removed at once, failed with the former bound.

--- a/versioner/list.go
+++ b/versioner/list.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// maxRemoved bounds the removed objects that are remembered. Older versions than those
-	// get the whole list.
-	maxRemoved = 1024
+	// minRemoved is the number of removed objects that are remembered in any case, beyond that
+	// as many as there are objects: the loss of an availability zone removes a third of the
+	// list. Older versions than those get the whole list.
+	minRemoved = 1024
 	// minCompaction is the number of entries of the log up to which outdated ones are kept.
 	minCompaction = 256
 )
@@ -272,9 +273,10 @@
 	return l.removed[e.key] != e.revision
 }
 
-// forgetRemoved deletes the oldest removed objects beyond maxRemoved, and the log up to
-// them. The caller holds the lock.
+// forgetRemoved deletes the oldest removed objects beyond those that are remembered, and the
+// log up to them. The caller holds the lock.
 func (l *List) forgetRemoved() {
+	maxRemoved := max(minRemoved, len(l.objects))
 	n := 0
 	for ; n < len(l.log) && (len(l.removed) > maxRemoved || l.log[n].revision <= l.oldest); n++ {
 		e := l.log[n]
