perf: a change of the configuration passes on only what changed

Cause: each version of the configuration was indexed as a whole (maps of 12,000 routes, 4,000 groups and all organisations), the limits of all organisations were divided again, the holders of all groups were dropped and ranked again, and the bounds of all pools were set.

SetLimits, SetConnections and SetGroups take the changed and the removed entries. The Dispatcher asks for its shares itself, and a change of the fleet no longer passes the groups to it, which could put back those of an earlier configuration.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -124,8 +124,8 @@
 }
 
 // newDispatcher returns a dispatcher without instances.
-func newDispatcher(p Dependencies, o *observer.Observer, s *throttler.Throttler, b *borrower.Borrower, e *delegator.Delegator, j *journaler.Journaler, m *measurer.Measurer) *dispatcher.Dispatcher {
-	return dispatcher.New(dispatcher.Dependencies{Observer: o, Throttler: s, Borrower: b, Remote: e, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
+func newDispatcher(p Dependencies, o *observer.Observer, s *throttler.Throttler, b *borrower.Borrower, e *delegator.Delegator, h *delegator.HolderSelector, j *journaler.Journaler, m *measurer.Measurer) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Dependencies{Observer: o, Throttler: s, Borrower: b, Remote: e, Shares: h, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
 }
 
 // newSessionServer returns a server without sessions.
--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -209,9 +209,7 @@
 	}
 	heard := float64(alive+1) / float64(known+silent+1)
 	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) float64 { return n.Borrower.LendingFraction(now, organisation) })
-	if c := n.Catalogue.Current(); c != nil {
-		n.Dispatcher.SetGroups(c.Groups, func(group string) float64 { return n.Holders.Share(now, group) })
-	}
+	n.Dispatcher.UpdateBounds()
 }
 
 // peerDemands returns the demand at each other VM of a small fleet.
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -58,7 +58,7 @@
 	}
 	if c := p.Catalogue.Current(); c != nil {
 		d.Version = c.Version
-		for name := range c.Organisations {
+		for name := range c.Organisations.All() {
 			share, demand := p.Sharer.Share(name)
 			d.Shares[name] = rateShare{Share: share, Demand: demand}
 		}
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -142,35 +142,37 @@
 	// A later configuration that arrives meanwhile is applied after this one.
 	p.State.applyMu.Lock()
 	defer p.State.applyMu.Unlock()
+	before := p.Catalogue.Current()
 	if !p.Catalogue.Install(p.Parts.Clock.Now(), c) {
 		return
 	}
-	p.configureComponents(c)
+	p.configureComponents(before, c)
 	p.State.bodies.add(raw)
 	p.announceChange()
 	p.Journal.LogStateChange("configuration-taken", journaler.Version(c.Version), journaler.F("routes", c.DatabaseCount()),
-		journaler.F("organisations", len(c.Organisations)), journaler.Source(source))
+		journaler.F("organisations", c.Organisations.Len()), journaler.Source(source))
 }
 
-// configureComponents passes the limits and connection numbers of the configuration
-// to the components.
-func (p *Proxy) configureComponents(c *cataloguer.Catalogue) {
-	limits := make(map[string]limiter.Limit, len(c.Organisations))
-	for name, o := range c.Organisations {
+// configureComponents passes to the components the limits and connection numbers that
+// differ from those of the configuration before; all of them if that is nil.
+func (p *Proxy) configureComponents(before, c *cataloguer.Catalogue) {
+	organisations, removed := c.LimitsSince(before)
+	limits := make(map[string]limiter.Limit, len(organisations))
+	for name, o := range organisations {
 		limits[name] = o.Limit
 		if old, ok := p.Sharer.Limit(name); ok && old != o.Limit {
 			p.Journal.LogStateChange("limit-changed", journaler.Organisation(name), journaler.F("rate", o.Limit.Rate),
 				journaler.F("burst", o.Limit.Burst), journaler.F("rate-before", old.Rate), journaler.Version(c.Version))
 		}
 	}
-	now := p.Parts.Clock.Now()
-	p.Sharer.SetLimits(now, limits)
-	usable := make(map[string]float64, len(c.Groups))
-	for name, g := range c.Groups {
+	p.Sharer.SetLimits(p.Parts.Clock.Now(), limits, removed...)
+	groups, removedGroups := c.GroupsSince(before)
+	usable := make(map[string]float64, len(groups))
+	for name, g := range groups {
 		usable[name] = connector.UsableConnections(g.MaxConnections)
 	}
-	p.Holders.SetConnections(usable)
-	p.Dispatcher.SetGroups(c.Groups, func(group string) float64 { return p.Holders.Share(now, group) })
+	p.Holders.SetConnections(usable, removedGroups...)
+	p.Dispatcher.SetGroups(c.Groups, groups, removedGroups)
 }
 
 const (
--- a/delegator/holder_selector.go
+++ b/delegator/holder_selector.go
@@ -45,7 +45,7 @@
 
 // NewHolderSelector returns the HolderSelector of a VM.
 func NewHolderSelector(name string) *HolderSelector {
-	return &HolderSelector{name: name, holders: map[string][]string{}}
+	return &HolderSelector{name: name, connections: map[string]float64{}, holders: map[string][]string{}}
 }
 
 // SetFleet sets the view of the fleet. It must be called before any other method.
@@ -53,12 +53,19 @@
 	s.fleet = f
 }
 
-// SetConnections sets, for each group, the number of connections to each of its
-// instances that all VMs together may hold.
-func (s *HolderSelector) SetConnections(c map[string]float64) {
+// SetConnections sets, for each group whose number changed, the number of connections to each
+// of its instances that all VMs together may hold, and forgets the groups that are gone.
+func (s *HolderSelector) SetConnections(changed map[string]float64, gone ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.connections, s.holders = c, map[string][]string{}
+	for group, n := range changed {
+		s.connections[group] = n
+		delete(s.holders, group)
+	}
+	for _, group := range gone {
+		delete(s.connections, group)
+		delete(s.holders, group)
+	}
 }
 
 // Holders returns the holders of a group in this availability zone; all is true
--- a/delegator/holder_selector_test.go
+++ b/delegator/holder_selector_test.go
@@ -122,3 +122,20 @@
 		g.Expect(all).To(BeTrue())
 	}
 }
+
+// A change of the connections of one group is in force at once, and the others keep theirs.
+func TestChangeOfConnections(t *testing.T) {
+	g := NewWithT(t)
+	r := selectors(60, 3, 21, nil)[0]
+	r.SetConnections(map[string]float64{"other": 12})
+	before, _ := r.Holders(start, "db")
+	other, _ := r.Holders(start, "other")
+	r.SetConnections(map[string]float64{"db": 48})
+	after, _ := r.Holders(start, "db")
+	g.Expect(len(after)).To(BeNumerically(">", len(before)))
+	g.Expect(r.Holders(start, "other")).To(Equal(other))
+	r.SetConnections(nil, "db")
+	_, all := r.Holders(start, "db")
+	g.Expect(all).To(BeTrue())
+	g.Expect(r.Share(start, "db")).To(BeZero())
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,10 +30,8 @@
 	// targets holds all instances, and pools the connections to those in use, by id.
 	targets map[string]connector.Target
 	pools   map[string]*connector.Pool
-	groups  map[string]cataloguer.Group
-	// share returns the number of connections of this VM to each instance of a group.
-	share  func(group string) float64
-	rounds map[string]*statusRound
+	groups  cataloguer.Index[cataloguer.Group]
+	rounds  map[string]*statusRound
 	// roundStartedAt is the start time of the last status round of each group.
 	roundStartedAt map[string]time.Time
 	// primaryUnknownSince is the time since which no primary of a group is known.
@@ -44,7 +42,7 @@
 
 // New returns a Dispatcher without instances.
 func New(p Dependencies) *Dispatcher {
-	return &Dispatcher{Dependencies: p, targets: map[string]connector.Target{}, pools: map[string]*connector.Pool{}, groups: map[string]cataloguer.Group{}, rounds: map[string]*statusRound{}, roundStartedAt: map[string]time.Time{}, primaryUnknownSince: map[string]time.Time{}}
+	return &Dispatcher{Dependencies: p, targets: map[string]connector.Target{}, pools: map[string]*connector.Pool{}, rounds: map[string]*statusRound{}, roundStartedAt: map[string]time.Time{}, primaryUnknownSince: map[string]time.Time{}}
 }
 
 // refuse returns a response without rows, with the code and the reason in its detail.
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -139,7 +139,8 @@
 func (d *Dispatcher) ReplicatesSynchronously(group string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.groups[group].SyncReplicas > 0
+	g, _ := d.groups.Get(group)
+	return g.SyncReplicas > 0
 }
 
 // evaluate returns the response to an attempt; the result is false if the attempt may
--- a/dispatcher/parts.go
+++ b/dispatcher/parts.go
@@ -22,6 +22,8 @@
 	// Remote runs units of work on VMs that hold connections; nil runs all of them
 	// locally.
 	Remote RemoteRunner
+	// Shares divides the connections to instances among the VMs.
+	Shares Shares
 	// Dialer opens connections to instances.
 	Dialer connector.Dialer
 	// Clock returns the current time.
@@ -47,6 +49,13 @@
 	Borrow(ctx context.Context, organisation string, maxWait time.Duration) (wait time.Duration, ok bool)
 }
 
+// Shares divides the connections to instances among the VMs.
+type Shares interface {
+	// Share returns the number of connections to an instance of a group that are reserved
+	// for this VM.
+	Share(now time.Time, group string) float64
+}
+
 // RemoteRunner runs units of work that this VM admitted on other VMs.
 type RemoteRunner interface {
 	// Run runs a single statement; ok is false if this VM may run it, because it
--- a/dispatcher/pools.go
+++ b/dispatcher/pools.go
@@ -26,28 +26,45 @@
 	}
 }
 
-// SetGroups sets the groups and the function that returns the number of connections that
-// this VM may hold to each instance of a group.
-func (d *Dispatcher) SetGroups(groups map[string]cataloguer.Group, share func(group string) float64) {
+// SetGroups sets the groups, of which some are new or changed and some are gone.
+func (d *Dispatcher) SetGroups(groups cataloguer.Index[cataloguer.Group], changed map[string]cataloguer.Group, gone []string) {
+	d.mu.Lock()
+	d.groups = groups
+	d.mu.Unlock()
+	d.updateBounds(func(group string) bool {
+		_, ok := changed[group]
+		return ok || slices.Contains(gone, group)
+	})
+}
+
+// UpdateBounds updates the limits on the connections of this VM to all instances, after its
+// shares changed.
+func (d *Dispatcher) UpdateBounds() {
+	d.updateBounds(func(string) bool { return true })
+}
+
+// updateBounds updates the limits on the connections of this VM to the instances of the
+// groups that a function selects.
+func (d *Dispatcher) updateBounds(selects func(group string) bool) {
 	d.mu.Lock()
-	d.groups, d.share = groups, share
 	pools := maps.Clone(d.pools)
 	d.mu.Unlock()
 	for _, p := range pools {
-		p.SetBounds(d.bounds(p.Group()))
+		if selects(p.Group()) {
+			p.SetBounds(d.bounds(p.Group()))
+		}
 	}
 }
 
 // bounds returns the limits on the connections of this VM to an instance of a group.
 func (d *Dispatcher) bounds(group string) connector.Bounds {
 	d.mu.Lock()
-	g, ok := d.groups[group]
-	share := d.share
+	g, ok := d.groups.Get(group)
 	d.mu.Unlock()
 	if !ok {
 		return connector.NewBounds(defaultConnections, 1)
 	}
-	return connector.NewBounds(g.MaxConnections, share(group))
+	return connector.NewBounds(g.MaxConnections, d.Shares.Share(d.Clock.Now(), group))
 }
 
 // defaultConnections is the number of connections that each instance of a group is
@@ -65,16 +82,26 @@
 		return p
 	}
 	created := connector.NewPool(t, d.Dialer, d.Clock, d.bounds(t.Group))
+	if p := d.addPool(t, created); p != created {
+		return p
+	}
+	// The group may have changed meanwhile.
+	created.SetBounds(d.bounds(t.Group))
+	return created
+}
+
+// addPool adds a pool unless there is one, and returns the pool in use.
+func (d *Dispatcher) addPool(t connector.Target, created *connector.Pool) *connector.Pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.targets[id] != t {
+	if d.targets[t.Instance] != t {
 		// The instance was removed or replaced meanwhile, or the Dispatcher was closed.
-		return d.pools[id]
+		return d.pools[t.Instance]
 	}
-	if d.pools[id] == nil {
-		d.pools[id] = created
+	if d.pools[t.Instance] == nil {
+		d.pools[t.Instance] = created
 	}
-	return d.pools[id]
+	return d.pools[t.Instance]
 }
 
 // CloseIdle closes connections that have exceeded the idle timeout.
--- a/dispatcher/pools_test.go
+++ b/dispatcher/pools_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
@@ -28,3 +29,38 @@
 	d.Close()
 	g.Expect(d.pool("c")).To(BeNil())
 }
+
+// evenShares reserves the same number of connections to each instance.
+type evenShares float64
+
+func (s evenShares) Share(time.Time, string) float64 { return float64(s) }
+
+// A change of a group applies to the pools of its instances, and a new share to all pools.
+func TestBoundsFollowTheConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	d := New(Dependencies{
+		Observer: observer.New(func(string) time.Duration { return time.Millisecond }, time.Second), Clock: timekeeper.ClockFunc(time.Now), Shares: evenShares(2),
+	})
+	d.SetInstances([]observer.Instance{{ID: "a", Group: "g"}, {ID: "b", Group: "h"}}, nil)
+	g.Expect(d.pool("a")).NotTo(BeNil())
+	g.Expect(d.pool("b")).NotTo(BeNil())
+	shares := func() []int { s := d.PoolStats(); return []int{s["a"].Share, s["b"].Share} }
+	g.Expect(shares()).To(Equal([]int{1, 1}), "before the configuration is known")
+	groups := []cataloguer.Group{{Name: "g", MaxConnections: 20}, {Name: "h", MaxConnections: 20}}
+	c := cataloguer.New(1, 0, nil, groups, nil)
+	changed, gone := c.GroupsSince(nil)
+	d.SetGroups(c.Groups, changed, gone)
+	g.Expect(shares()).To(Equal([]int{2, 2}))
+	d.Shares = evenShares(3)
+	later := cataloguer.New(2, 0, nil, []cataloguer.Group{{Name: "g", MaxConnections: 30}, groups[1]}, nil)
+	changed, gone = later.GroupsSince(c)
+	d.SetGroups(later.Groups, changed, gone)
+	g.Expect(shares()).To(Equal([]int{3, 2}), "only the changed group")
+	d.UpdateBounds()
+	g.Expect(shares()).To(Equal([]int{3, 3}))
+	last := cataloguer.New(3, 0, nil, groups[1:], nil)
+	changed, gone = last.GroupsSince(later)
+	d.SetGroups(last.Groups, changed, gone)
+	g.Expect(shares()).To(Equal([]int{1, 3}), "a group that is gone")
+	d.Close()
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -68,24 +68,23 @@
 	return &Throttler{organisations: map[string]*organisationState{}, reported: map[string]float64{}, silentVMs: AssumedSilentVMs}
 }
 
-// SetLimits replaces the limits of all organisations.
-func (t *Throttler) SetLimits(now time.Time, limits map[string]limiter.Limit) {
+// SetLimits sets the limits of organisations that are new or changed, and forgets the
+// organisations that are gone. The shares of the others do not depend on them.
+func (t *Throttler) SetLimits(now time.Time, changed map[string]limiter.Limit, gone ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, l := range limits {
+	for name, l := range changed {
 		o := t.organisations[name]
 		if o == nil {
 			o = &organisationState{measuredAt: now}
 			t.organisations[name] = o
 		}
 		o.total = l
+		t.divideOne(now, name, o)
 	}
-	for name := range t.organisations {
-		if _, ok := limits[name]; !ok {
-			delete(t.organisations, name)
-		}
+	for _, name := range gone {
+		delete(t.organisations, name)
 	}
-	t.divide(now)
 }
 
 // SetPeers updates the demand reported by the other VMs and recomputes the
@@ -105,33 +104,39 @@
 
 // divide recomputes this VM's share of each rate. The caller holds the lock.
 func (t *Throttler) divide(now time.Time) {
+	for name, o := range t.organisations {
+		t.divideOne(now, name, o)
+	}
+}
+
+// divideOne recomputes this VM's share of the rate of an organisation. The caller holds the
+// lock.
+func (t *Throttler) divideOne(now time.Time, name string, o *organisationState) {
 	heard := float64(len(t.peers) + 1)
 	heardPart := heard / (heard + float64(t.silentVMs))
-	for name, o := range t.organisations {
-		totalDemand := t.reported[name]
-		if t.largeFleet {
-			totalDemand = 0
-		}
-		for _, p := range t.peers {
-			if !t.largeFleet {
-				totalDemand += p.Demand[name]
-			}
-		}
-		o.share = heardPart / heard
-		if totalDemand > 0 {
-			o.share = heardPart * (evenFraction/heard + (1-evenFraction)*t.reported[name]/totalDemand)
-		}
-		t.setLent(now, name, o)
-		limit := o.total.Scale((1 - t.lentFractionInForce()) * o.share)
+	totalDemand := t.reported[name]
+	if t.largeFleet {
+		totalDemand = 0
+	}
+	for _, p := range t.peers {
 		if !t.largeFleet {
-			limit.Burst = max(limit.Burst, 1)
-		}
-		if o.split == nil {
-			o.split = limiter.NewBucket(now, limit, max(1, limit.Burst*initialBurstFraction))
-			continue
+			totalDemand += p.Demand[name]
 		}
-		o.split.SetLimit(now, limit)
 	}
+	o.share = heardPart / heard
+	if totalDemand > 0 {
+		o.share = heardPart * (evenFraction/heard + (1-evenFraction)*t.reported[name]/totalDemand)
+	}
+	t.setLent(now, name, o)
+	limit := o.total.Scale((1 - t.lentFractionInForce()) * o.share)
+	if !t.largeFleet {
+		limit.Burst = max(limit.Burst, 1)
+	}
+	if o.split == nil {
+		o.split = limiter.NewBucket(now, limit, max(1, limit.Burst*initialBurstFraction))
+		return
+	}
+	o.split.SetLimit(now, limit)
 }
 
 // lentFractionInForce returns the fraction of each rate that is lent. The caller
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -211,3 +211,33 @@
 	}
 	g.Expect(float64(refused)).To(BeNumerically("<=", 0.03*float64(asked)))
 }
+
+// A change of one limit is in force at once and leaves the tokens of the others: otherwise
+// each change of the configuration would grant bursts again or take them away.
+func TestChangeOfOneLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := throttler.New()
+	s.SetPeers(start, nil, 0, 1, true, func(string) float64 { return 1 })
+	s.SetLimits(start, map[string]limiter.Limit{"a": {Rate: 1, Burst: 3}, "b": {Rate: 1, Burst: 3}})
+	lent := func(organisation string, now time.Time) (n int) {
+		for {
+			if _, ok := s.Lend(now, organisation, 0); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	later := start.Add(time.Minute)
+	g.Expect(lent("a", later)).To(Equal(3))
+	s.SetLimits(later, map[string]limiter.Limit{"b": {Rate: 1, Burst: 5}})
+	g.Expect(lent("a", later)).To(BeZero())
+	g.Expect(lent("b", later.Add(time.Minute))).To(Equal(5))
+	l, ok := s.Limit("b")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(l).To(Equal(limiter.Limit{Rate: 1, Burst: 5}))
+	s.SetLimits(later, nil, "b")
+	_, ok = s.Limit("b")
+	g.Expect(ok).To(BeFalse())
+	_, ok = s.Limit("a")
+	g.Expect(ok).To(BeTrue())
+}
