perf: a VM fetches a later configuration as soon as a relay announces it

Cause: a VM that does not watch the store looked for later versions every 150 ms, and in a list of VMs that may be 250 ms old and is not rebuilt for a new version.

Change: the message that announces a later version wakes the VM, which may then fetch it from the announcer. VMs that watch the store wait for it as before. No VM sends more.

What remains is the minimum time between two messages of a relay. go test ./platform -skip TestControlTraffic passes.

--- a/assembler/catch_up.go
+++ b/assembler/catch_up.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// noteVersion wakes catchUp if the message of another VM announces a later configuration
+// than this VM's own, and this VM does not watch the store. A VM that watches it receives
+// the configuration from there, if not later than catchUpInterval.
+func (s *state) noteVersion(now time.Time, m gossiper.Message, own uint64) {
+	if m.Version <= own || s.watchesStore.Load() {
+		return
+	}
+	select {
+	case s.laterCatalogue <- gossiper.Peer{Message: m, Heard: now}:
+	default:
+	}
+}
+
 // catchUp fetches later versions of the configuration and of the list of
 // instances from other VMs, since this VM may not watch the store, or may be
 // refused by it.
@@ -49,7 +62,11 @@
 	defer func() { _ = pending.group.Wait() }()
 	previous := gossiper.Message{}
 	delay := initialCatchUpInterval
-	for timekeeper.Sleep(ctx, delay) {
+	for {
+		announcer, ok := timekeeper.SleepUntil(ctx, delay, p.State.laterCatalogue)
+		if !ok {
+			return nil
+		}
 		now := p.Parts.Clock.Now()
 		own := p.Catalogue.Version()
 		delay = catchUpInterval
@@ -59,6 +76,9 @@
 		alive := slices.Clone(p.Gossiper.Alive(now))
 		// A random order spreads the fetches over the VMs that have the version.
 		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+		// The list of VMs alive may be older than the announcement that ended the sleep. The
+		// announcer of nothing has no version.
+		alive = append(alive, announcer)
 		listed := p.State.listing.Base()
 		var version, list gossiper.Peer
 		for _, peer := range alive {
@@ -82,7 +102,6 @@
 		}
 		previous.Version, previous.ListRevision = version.Version, list.ListRevision
 	}
-	return nil
 }
 
 // trusts reports whether to accept data of another VM. A process that has just
--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -65,12 +65,13 @@
 func newState(p Dependencies) *state {
 	// The random low bits distinguish processes that start in the same millisecond.
 	s := &state{
-		incarnation: uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10),
-		startedAt:   p.Clock.Now(),
-		instances:   observer.NewInstanceList(),
-		listing:     versioner.NewList(),
-		bodies:      newBodies(),
-		peerClient:  &http.Client{Transport: &http.Transport{DialContext: p.Dial, DisableCompression: true}},
+		incarnation:    uint64(p.Clock.Now().UnixMilli())<<10 | rand.Uint64N(1<<10),
+		startedAt:      p.Clock.Now(),
+		instances:      observer.NewInstanceList(),
+		listing:        versioner.NewList(),
+		laterCatalogue: make(chan gossiper.Peer, 1),
+		bodies:         newBodies(),
+		peerClient:     &http.Client{Transport: &http.Transport{DialContext: p.Dial, DisableCompression: true}},
 	}
 	s.watchesStore.Store(true)
 	s.standby.Store(true)
--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -228,6 +228,7 @@
 
 // receive handles a message of another VM.
 func (n *gossipHandler) receive(now time.Time, m gossiper.Message) {
+	n.State.noteVersion(now, m, n.Catalogue.Version())
 	for _, g := range m.Groups {
 		if g.Primary != "" && n.Observer.LearnPrimary(now, g.Group, g.Primary, g.Term) {
 			n.setLearned(g, sourceOf(m))
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -73,6 +73,9 @@
 	standby atomic.Bool
 	// watchesStore reports that this VM watches the store.
 	watchesStore atomic.Bool
+	// laterCatalogue receives the VM that announces a later configuration to this one,
+	// which does not watch the store.
+	laterCatalogue chan gossiper.Peer
 	// bodies holds the last configurations for other VMs.
 	bodies *bodies
 	// peerClient is the HTTP client for other VMs.
