--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -217,9 +217,7 @@
 	}
 	heard := float64(alive+1) / float64(known+silent+1)
 	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) float64 { return n.Borrower.LendingFraction(now, organisation) })
-	if c := n.Catalogue.Current(); c != nil {
-		n.Dispatcher.SetGroups(c.Groups, func(group string) float64 { return n.Holders.Share(now, group) })
-	}
+	n.Dispatcher.UpdateBounds()
 }
 
 // peerDemands returns the demand at each other VM of a small fleet.
@@ -238,6 +236,7 @@
 
 // receive handles a message of another VM.
 func (n *gossipHandler) receive(now time.Time, m gossiper.Message) {
+	n.State.noteVersion(now, m, n.Catalogue.Version())
 	for _, g := range m.Groups {
 		if g.Primary != "" && n.Observer.LearnPrimary(now, g.Group, g.Primary, g.Term) {
 			n.setLearned(g, sourceOf(m))
