perf: the list of VMs keeps the entries of each relay

Each rebuild of the list of VMs, four times a second, looked up each entry of each relay and each VM by name. A relay's entries are now kept with the VMs that they belong to while their hash is the same and no VM was forgotten, and the VMs in their order.

--- a/gossiper/cost_test.go
+++ b/gossiper/cost_test.go
@@ -210,3 +210,44 @@
 		}
 	}
 }
+
+// The list of VMs must be the same whether it is updated or built from scratch, also for
+// VMs that were forgotten and have returned.
+func TestRosterAfterChanges(t *testing.T) {
+	g := NewWithT(t)
+	f := newCostFleet(300, 6)
+	all := f.digests
+	var some []Digest
+	for _, d := range all {
+		if d.From.AvailabilityZone != "z-5" {
+			some = append(some, d)
+		}
+	}
+	for step := range 60 {
+		f.digests = all
+		if step >= 5 && step < 50 {
+			// The VMs of an availability zone are silent for longer than forgetTimeout.
+			f.digests = some
+		}
+		f.receiveAll()
+		d := all[0]
+		d.From.Sequence = f.sequence
+		d.Updates = []ZoneEntries{{Zone: d.From.AvailabilityZone, Entries: []Entry{{Name: fmt.Sprintf("vm-%d", 300+step%9), Incarnation: uint64(step)}}}}
+		if step%3 == 1 {
+			d.Updates[0].Removed = []string{fmt.Sprintf("vm-%d", 300+(step+4)%9)}
+		}
+		f.relayStates[d.From.Name].apply(f.now, &d)
+		all[0].Hash, some[0].Hash = f.relayStates[d.From.Name].hash, f.relayStates[d.From.Name].hash
+		f.roster.stale = true
+		updated, kept, merged := f.Alive(f.now), f.roster, map[string]mergedEntries{}
+		f.roster = roster{}
+		for name, s := range f.relayStates {
+			merged[name], s.merged = s.merged, mergedEntries{}
+		}
+		g.Expect(f.Alive(f.now)).To(Equal(updated), "step %d", step)
+		f.roster = kept
+		for name, s := range f.relayStates {
+			s.merged = merged[name]
+		}
+	}
+}
--- a/gossiper/relay_state.go
+++ b/gossiper/relay_state.go
@@ -19,6 +19,8 @@
 	hash        uint64
 	votes       []VoteCount
 	contested   []string
+	// merged belongs to the roster.
+	merged mergedEntries
 }
 
 // apply applies a digest and reports whether the entries changed.
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -20,9 +20,11 @@
 type roster struct {
 	builtAt time.Time
 	stale   bool
-	// names holds the names of known in ascending order, unless unsorted is set.
-	names    []string
+	// sorted holds the VMs of known in ascending order of name, unless unsorted is set.
+	sorted   []*member
 	unsorted bool
+	// deletions counts the deletions from known.
+	deletions uint64
 	// zones holds the VMs of known by availability zone.
 	zones map[string]*zoneRoster
 	// generation counts the changes of the set of VMs that are alive and not leaving.
@@ -79,14 +81,14 @@
 	for _, p := range g.peers {
 		r.addMessage(*p, now.Sub(p.Heard) < silenceTimeout)
 	}
-	r.sortNames()
+	r.sort()
 	// The lists of the previous roster may still be in use.
 	r.alive, r.near = make([]Peer, 0, len(r.alive)), make([]Peer, 0, len(r.near))
 	r.zones = make(map[string]*zoneRoster, len(r.zones))
-	for _, name := range r.names {
-		m := r.known[name]
+	for _, m := range r.sorted {
 		if now.Sub(m.Heard) > forgetTimeout {
-			delete(r.known, name)
+			delete(r.known, m.Name)
+			r.deletions++
 			r.unsorted = true
 			continue
 		}
@@ -98,7 +100,7 @@
 			}
 		}
 	}
-	r.sortNames()
+	r.sort()
 	if sum := checksum(r.alive); sum != r.checksum {
 		r.checksum = sum
 		r.generation++
@@ -107,20 +109,19 @@
 
 // merge adds the VMs in the digests of a relay.
 func (r *roster) merge(s *relayState, self string) {
-	for zone, entries := range s.zones {
-		for name, e := range entries {
-			if name == self {
-				continue
-			}
-			m := r.known[name]
-			if m != nil && m.bare && m.AvailabilityZone == zone && m.entry() == e {
-				m.alive = true
-				if s.heardAt.After(m.Heard) {
-					m.Heard = s.heardAt
-				}
-				continue
-			}
-			r.add(Peer{Message: e.message(zone), Heard: s.heardAt}, true, true)
+	if s.merged.hash != s.hash || s.merged.deletions != r.deletions || s.merged.entries == nil {
+		s.merged = r.newMergedEntries(s, self)
+	}
+	for n := range s.merged.entries {
+		e := &s.merged.entries[n]
+		m := e.member
+		if !m.bare || m.AvailabilityZone != e.zone || m.entry() != e.entry {
+			r.add(Peer{Message: e.entry.message(e.zone), Heard: s.heardAt}, true, true)
+			continue
+		}
+		m.alive = true
+		if s.heardAt.After(m.Heard) {
+			m.Heard = s.heardAt
 		}
 	}
 }
@@ -147,10 +148,11 @@
 	}
 }
 
-// sortNames updates the names after VMs were added or deleted.
-func (r *roster) sortNames() {
+// sort updates sorted after VMs were added or deleted.
+func (r *roster) sort() {
 	if r.unsorted {
-		r.names, r.unsorted = slices.Sorted(maps.Keys(r.known)), false
+		r.unsorted = false
+		r.sorted = slices.SortedFunc(maps.Values(r.known), func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
 	}
 }
 
