perf: a VM that joins or goes moves only the holders that it gains or held

Each change of the set of live VMs, in any availability zone, made each VM rank the VMs of its own for all groups again: twice for each VM of a rolling restart. Holders are now kept: a VM that joins is ranked with the holders of each group, one that is gone costs a ranking of the groups that it held, and VMs of other availability zones cost nothing. A different number of holders is taken from the kept ones if it is smaller.

--- a/delegator/holder_selector.go
+++ b/delegator/holder_selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,9 +39,10 @@
 	mu          sync.Mutex
 	connections map[string]float64
 	generation  uint64
-	holders     map[string][]string
-	addresses   map[string]netip.AddrPort
-	vms, zones  int
+	// holders holds the first of the ranked VMs of each group that was asked for.
+	holders    map[string][]string
+	addresses  map[string]netip.AddrPort
+	vms, zones int
 }
 
 // NewHolderSelector returns the HolderSelector of a VM.
@@ -74,17 +76,17 @@
 	if all || s.connections[group] <= 0 {
 		return nil, true
 	}
-	names, ok := s.holders[group]
-	if !ok {
+	holders = min(holders, len(s.addresses)+1)
+	names = s.holders[group]
+	if len(names) < holders {
 		candidates := make([]string, 0, len(s.addresses)+1)
 		for name := range s.addresses {
 			candidates = append(candidates, name)
 		}
-		names = ranker.Rank("hold/"+group, append(candidates, s.name))
-		names = names[:min(len(names), holders)]
+		names = rankHolders(group, append(candidates, s.name))[:holders]
 		s.holders[group] = names
 	}
-	return names, false
+	return names[:holders:holders], false
 }
 
 // IsShared reports whether several VMs of this availability zone hold connections to the
@@ -94,13 +96,48 @@
 	return all || len(names) > 1
 }
 
+// rankHolders returns the candidates for holding connections of a group, the first one first.
+func rankHolders(group string, candidates []string) []string {
+	return ranker.Rank("hold/"+group, candidates)
+}
+
 // refresh reloads the live VMs from the fleet. The caller holds the lock.
 func (s *HolderSelector) refresh(now time.Time, generation uint64) {
-	s.generation, s.holders, s.addresses = generation, map[string][]string{}, map[string]netip.AddrPort{}
+	before := s.addresses
+	s.generation, s.addresses = generation, map[string]netip.AddrPort{}
 	s.vms, s.zones = s.fleet.FleetSize(now)
+	var joined []string
 	for _, p := range s.fleet.AliveInZone(now) {
-		if !p.Leaving {
-			s.addresses[p.Name] = UnitsAddress(p.Address)
+		if p.Leaving {
+			continue
+		}
+		s.addresses[p.Name] = UnitsAddress(p.Address)
+		if _, ok := before[p.Name]; !ok {
+			joined = append(joined, p.Name)
+		}
+	}
+	gone := map[string]bool{}
+	for name := range before {
+		if _, ok := s.addresses[name]; !ok {
+			gone[name] = true
+		}
+	}
+	s.updateHolders(joined, gone)
+}
+
+// updateHolders updates the holders after VMs of this availability zone have joined and
+// gone. A VM that joins moves only the groups that it gains, and one that is gone those
+// that it held; VMs of other availability zones move none. The caller holds the lock.
+func (s *HolderSelector) updateHolders(joined []string, gone map[string]bool) {
+	if len(joined)+len(gone) == 0 {
+		return
+	}
+	for group, names := range s.holders {
+		switch {
+		case slices.ContainsFunc(names, func(name string) bool { return gone[name] }):
+			delete(s.holders, group)
+		case len(joined) > 0:
+			s.holders[group] = rankHolders(group, slices.Concat(names, joined))[:len(names)]
 		}
 	}
 }
