fix: a group is stopped again when its promotion has waited for the platform's rate

Cause: a promotion that waited for the rate for longer than the grant of the lease continued under an extended grant with the successor chosen before the wait. A replica that restarts meanwhile is no longer paused, and may acknowledge commits of a former primary that is cut off from this VM only. Change: after such a wait, the lease is extended, the group is stopped again under the same term and its successor chosen anew, unless a request with an unknown outcome was sent. Between the stop of a group and a promotion request lies at most the validity of the grant, as before.

--- a/switcher/pace_test.go
+++ b/switcher/pace_test.go
@@ -119,7 +119,9 @@
 }
 
 // A platform that refuses requests because of their rate, for longer than the grant of the
-// lease, delays the promotion; it does not fail the replacement.
+// lease, delays the promotion; it does not fail the replacement. The replicas are paused again
+// before a promotion under the extended grant, since one may have restarted and received
+// commits in the meantime.
 func TestRateLimitedPromotion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWithT(t)
@@ -128,6 +130,7 @@
 		accepted, refused := s.Promotions()
 		w.Expect(accepted).To(Equal(uint64(1)))
 		w.Expect(refused).To(BeZero())
+		w.Expect(g.pauses).To(Equal(4))
 		w.Expect(g.decisions["replacement-begun"]).To(Equal(1))
 		w.Expect(g.decisions["replacement-failed"]).To(BeZero())
 		w.Expect(g.promoted.Sub(failed)).To(BeNumerically("<=", 6*time.Second))
--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -34,6 +34,7 @@
 	errNoSafeSuccessor = eris.New("no instance is known to hold every acknowledged commit")
 	errAlreadyReplaced = eris.New("the group already has a new primary")
 	errGrantExpired    = eris.New("the grant of the lease has expired")
+	errWaitedTooLong   = eris.New("the grant of the lease has expired while the promotion waited for the platform's rate")
 	errNotLeading      = eris.New("the promoted instance does not lead yet")
 )
 
@@ -73,14 +74,23 @@
 		s.Announcer.Announce(ctx, written, record)
 		return nil
 	})
-	former, replicas := s.stopGroup(ctx, instances, formerID, term, v == Lost && s.Controller.ReplicatesSynchronously(group))
-	successor, ok := ChooseSuccessor(former, replicas)
-	if !ok {
-		s.resumeReplicas(ctx, replicas)
-		s.withdrawSuperseded(ctx, group, formerTerm)
-		return nil, 0, errNoSafeSuccessor
+	for err = errWaitedTooLong; errors.Is(err, errWaitedTooLong); {
+		// A replica that restarted during a long wait is no longer paused, and may have received
+		// commits since: after a wait, the group is stopped again and its successor chosen anew.
+		if grant, err = s.extendGrant(ctx, grant); err != nil {
+			return nil, waited, err
+		}
+		former, replicas := s.stopGroup(ctx, instances, formerID, term, v == Lost && s.Controller.ReplicatesSynchronously(group))
+		successor, ok := ChooseSuccessor(former, replicas)
+		if !ok {
+			s.resumeReplicas(ctx, replicas)
+			s.withdrawSuperseded(ctx, group, formerTerm)
+			return nil, waited, errNoSafeSuccessor
+		}
+		var wait time.Duration
+		wait, err = s.promote(ctx, grant, successor, term)
+		waited += wait
 	}
-	waited, err = s.promote(ctx, grant, successor, term)
 	if err != nil {
 		return nil, waited, err
 	}
@@ -165,10 +175,11 @@
 }
 
 // promote promotes the successor and waits until it leads. It returns how long it waited for
-// the platform's rate of requests.
+// the platform's rate of requests, and errWaitedTooLong if the grant expired before any request
+// took effect.
 func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64) (waited time.Duration, err error) {
 	var deadline time.Time
-	accepted := false
+	accepted, sentAny := false, false
 	for ctx.Err() == nil {
 		if !accepted {
 			wait := s.awaitPromotion(ctx)
@@ -182,15 +193,19 @@
 				// An extension would keep the lease from the VMs that reach the platform.
 				return waited, ErrPlatformUnreachable
 			}
-			if grant, err = s.extendGrant(ctx, grant); err != nil {
-				return waited, err
+			switch {
+			case grant.Valid(s.Clock.Now()):
+			case sentAny:
+				return waited, errGrantExpired
+			default:
+				return waited, errWaitedTooLong
 			}
 			err := s.sendPromotion(ctx, grant, successor, term)
 			if errors.Is(err, ErrRateLimited) {
 				s.delayPromotions()
 				continue
 			}
-			accepted = err == nil
+			accepted, sentAny = err == nil, true
 		}
 		sent := s.Clock.Now()
 		if st, err := s.Controller.Control(ctx, successor, modeller.Statement{Kind: modeller.Status}); err == nil && st.IsPrimary {
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -36,6 +36,8 @@
 	promoted time.Time
 	// paused are the replicas that no longer receive.
 	paused map[string]bool
+	// pauses counts the statements that paused them.
+	pauses int
 	// async makes the primary commit without waiting for a replica.
 	async bool
 	// storeUnreachable makes the calls of this VM to the store fail.
@@ -65,6 +67,7 @@
 	defer g.mu.Unlock()
 	if s.Kind == modeller.Pause {
 		g.paused[i.ID] = true
+		g.pauses++
 	}
 	st := modeller.InstanceStatus{Term: 1, Received: tracker.Position{Term: 1, Offset: 7}, IsPrimary: g.leader == i.ID}
 	if st.IsPrimary {
