--- a/renewer/request.go
+++ b/renewer/request.go
@@ -82,11 +82,16 @@
 	}
 	v.pending[request.Nonce] = now
 	v.mu.Unlock()
-	b, err := cbor.Marshal(request)
+	v.Fleet.SendRequest(p.Address, Topic, encode(request))
+}
+
+// encode encodes a message, all of whose types can be encoded.
+func encode(message any) []byte {
+	b, err := cbor.Marshal(message)
 	if err != nil {
 		panic(err)
 	}
-	v.Fleet.SendRequest(p.Address, Topic, b)
+	return b
 }
 
 // HandleRequest returns the response to a request of another VM, or nil if the request is
@@ -109,11 +114,7 @@
 	response := v.response(now, request)
 	// A VM that could not follow the changes is sent the whole record next.
 	response.AcceptsChanges = understood
-	out, err := cbor.Marshal(response)
-	if err != nil {
-		panic(err)
-	}
-	return out
+	return encode(response)
 }
 
 // response returns the response to a request: the record as far as the other VM does not
