test: the encoded form and the hash of changes stay as earlier versions have them

Cause: VMs of two versions run side by side during a rolling upgrade, and no test held the encoded form of the changes that they send each other. Change: TestEncodedChanges compares it with that of the former code, hash included. Measured: passes; the expected values are the output of the former versioner.List.

--- a/versioner/list_test.go
+++ b/versioner/list_test.go
@@ -1,6 +1,7 @@
 package versioner_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -282,6 +283,28 @@
 	}
 }
 
+// Guards against another encoded form or hash, which VMs of earlier versions would refuse during
+// a rolling upgrade.
+func TestEncodedChanges(t *testing.T) {
+	g := NewWithT(t)
+	l := versioner.NewList()
+	l.Update(versioner.Update{Revision: 10, Whole: true, Objects: []keeper.Object{{Key: "s/a", Version: "3", Revision: 3, Value: []byte("x")}, {Key: "s/b", Version: "7", Revision: 7}}})
+	l.Update(versioner.Update{Revision: 20, Objects: []keeper.Object{{Key: "s/c", Version: "18", Revision: 18, Value: []byte("y")}}, Removed: []string{"s/b"}})
+	tests := []struct {
+		after uint64
+		want  string
+	}{
+		{0, `{"revision":20,"objects":[{"key":"s/a","version":"3","revision":3,"value":"eA=="},{"key":"s/c","version":"18","revision":18,"value":"eQ=="}]}`},
+		{10, `{"after":10,"revision":20,"objects":[{"key":"s/c","version":"18","revision":18,"value":"eQ=="}],"hash":4203704866286408017,"removed":["s/b"]}`},
+		{20, `{"after":20,"revision":20,"objects":[],"hash":4203704866286408017}`},
+	}
+	for _, tt := range tests {
+		got, err := json.Marshal(l.ChangesAfter(tt.after))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(got)).To(Equal(tt.want))
+	}
+}
+
 // An object that its sender never saw, since it was added and removed between two of its
 // versions, is not left in the list: the receiver requests the whole list.
 func TestDivergedList(t *testing.T) {
