test: a restarted process learns the profiles of the fleet

The other VMs still send compact messages to the address of the previous process; the new one must learn of all VMs within 2 s and take no message for younger than it is.

--- a/gossiper/compact_test.go
+++ b/gossiper/compact_test.go
@@ -1,6 +1,8 @@
 package gossiper_test
 
 import (
+	"context"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -8,8 +10,11 @@
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/accountant"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
+	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // lastOldFrame is the last frame type that a process without compact messages reads.
@@ -93,3 +98,50 @@
 		g.Expect(float64(busiest) / span.Seconds()).To(BeNumerically("<=", quietBytesPerSecond))
 	})
 }
+
+// A process that starts at the address of another one knows no profile, while the other
+// VMs still send it compact messages. It must learn of all VMs as quickly as any, and no
+// message may be taken for one of the previous process or for younger than it is.
+func TestRestartedProcessLearnsProfiles(t *testing.T) {
+	f := &changeTracker{known: map[int]bool{}}
+	fleetWith(t, 60, 2, f, func(g *WithT, h *hub, vms []*gossiper.Gossiper, ports []*port) {
+		for n := range 8 {
+			h.cut(ports, []int{n}, true)
+			at, name, zone := ports[n].at, fmt.Sprintf("vm-%d", n), fmt.Sprintf("z-%d", n%2)
+			p := &port{h: h, at: at, in: make(chan datagram, 1000), done: make(chan struct{})}
+			h.mu.Lock()
+			h.ports[at] = p
+			h.mu.Unlock()
+			seeds := map[string]gossiper.Seed{}
+			for i, o := range ports {
+				if i != n {
+					seeds[fmt.Sprintf("vm-%d", i)] = gossiper.Seed{Address: o.at, AvailabilityZone: fmt.Sprintf("z-%d", i%2)}
+				}
+			}
+			vm := gossiper.New(p, timekeeper.ClockFunc(time.Now), accountant.New(), name, zone, func(time.Time, gossiper.Audience) gossiper.Message {
+				return gossiper.Message{Name: name, AvailabilityZone: zone, Address: at, Incarnation: 2, Version: uint64(time.Now().UnixNano())}
+			}, func(_ time.Time, m gossiper.Message) { f.receive(n, m) })
+			vm.SetSeeds(time.Now(), seeds)
+			ctx, cancel := context.WithCancel(context.Background())
+			var group errgroup.Group
+			group.Go(func() error { return vm.Run(ctx) })
+			time.Sleep(2 * time.Second)
+			g.Expect(vm.Alive(time.Now())).To(HaveLen(len(vms)-1), "at the new process of VM %d", n)
+			for _, peer := range vms[59].Alive(time.Now()) {
+				if peer.Name == name {
+					g.Expect(peer.Incarnation).To(BeEquivalentTo(2))
+				}
+			}
+			// The VMs to come are started with this one gone and its first process back.
+			cancel()
+			g.Expect(group.Wait()).To(Succeed())
+			h.mu.Lock()
+			h.ports[at] = ports[n]
+			h.mu.Unlock()
+			h.cut(ports, []int{n}, false)
+			time.Sleep(5 * time.Second)
+		}
+		_, _, tooYoung := f.datedCounts()
+		g.Expect(tooYoung).To(BeZero())
+	})
+}
