fix: groups whose replacement keeps failing don't delay those of other groups

Cause: a group that lost a replica with its primary has no safe successor. Its replacement fails and is tried again after 400 ms, and the order by urgency would place it before groups not tried yet: some hundred of these would take all concurrent replacements. Change: groups whose replacement failed more than once come after all that failed less often. The first retry keeps its place, and no delay grows.

--- a/switcher/pace_test.go
+++ b/switcher/pace_test.go
@@ -76,7 +76,8 @@
 }
 
 // Guards against groups with waiting callers that wait behind groups that nobody uses, and
-// against the replacement of serving primaries before lost ones.
+// against the replacement of serving primaries before lost ones. Groups without a safe
+// successor must not be tried again and again before all others.
 func TestOrderCandidates(t *testing.T) {
 	early, late := now.Add(-2*time.Second), now.Add(-time.Second)
 	list := []switcher.Candidate{
@@ -86,6 +87,8 @@
 		{Group: "used-a", Decision: switcher.Lost, Reports: 40, Since: late},
 		{Group: "used-early", Decision: switcher.Lost, Reports: 40, Since: early},
 		{Group: "most-used", Decision: switcher.Lost, Reports: 90, Since: late},
+		{Group: "failed-often", Decision: switcher.Lost, Reports: 95, Since: early, Failures: 3},
+		{Group: "failed-once", Decision: switcher.Lost, Reports: 80, Since: late, Failures: 1},
 		{Group: "stopped", Decision: switcher.Unfinished},
 		{Group: "leaderless", Decision: switcher.Leaderless, Since: early},
 	}
@@ -94,7 +97,7 @@
 	for _, c := range list {
 		got = append(got, c.Group)
 	}
-	NewWithT(t).Expect(got).To(Equal([]string{"stopped", "most-used", "used-early", "used-a", "used-b", "unused", "leaderless", "leaving"}))
+	NewWithT(t).Expect(got).To(Equal([]string{"stopped", "most-used", "failed-once", "used-early", "used-a", "used-b", "unused", "leaderless", "leaving", "failed-often"}))
 }
 
 // Guards against one read of the store for each of many primaries that are lost at once.
--- a/switcher/replacements.go
+++ b/switcher/replacements.go
@@ -32,6 +32,10 @@
 		}
 		if err != nil {
 			s.retryAt[group] = s.Clock.Now().Add(retryDelay)
+			s.failures[group]++
+		} else {
+			delete(s.retryAt, group)
+			delete(s.failures, group)
 		}
 		s.mu.Unlock()
 		if err != nil {
@@ -65,6 +69,13 @@
 	})
 }
 
+// failureCount returns the number of replacements of a group that failed since the last success.
+func (s *Switcher) failureCount(group string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failures[group]
+}
+
 // isReplacing reports whether the primary of a group is being replaced.
 func (s *Switcher) isReplacing(group string) bool {
 	s.mu.Lock()
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -75,6 +75,7 @@
 	// promoting is the number of those that do not have a successor yet.
 	promoting       int
 	retryAt         map[string]time.Time
+	failures        map[string]int
 	pace            promotionPace
 	contact         platformContact
 	formerPrimaries []formerPrimary
@@ -84,7 +85,7 @@
 
 // New returns a Switcher.
 func New(p Dependencies) *Switcher {
-	return &Switcher{Dependencies: p, leaderlessSince: map[string]time.Time{}, pausedSince: map[string]pause{}, retryAt: map[string]time.Time{}, replacing: map[string]bool{}, supersededSince: map[string]time.Time{}}
+	return &Switcher{Dependencies: p, leaderlessSince: map[string]time.Time{}, pausedSince: map[string]pause{}, retryAt: map[string]time.Time{}, failures: map[string]int{}, replacing: map[string]bool{}, supersededSince: map[string]time.Time{}}
 }
 
 // Promotions returns the number of promotion requests of this VM that the platform
@@ -153,7 +154,7 @@
 		}
 		view := s.view(now, p, rank, votes)
 		if decision := DecideReplacement(now, view); decision != Keep {
-			out = append(out, Candidate{Group: p.Group, Decision: decision, Reports: view.LostVotes, Since: latest(p.UnservedSince, view.LeaderlessSince)})
+			out = append(out, Candidate{Group: p.Group, Decision: decision, Reports: view.LostVotes, Failures: s.failureCount(p.Group), Since: latest(p.UnservedSince, view.LeaderlessSince)})
 		}
 	}
 	return out
