fix: a term of zero is no mismatch of the record

Cause: the record names the term zero for a group whose primary was never known. Change: the hash passes over terms of zero. Measured: TestChangesWithTermZero failed before.

--- a/renewer/changes.go
+++ b/renewer/changes.go
@@ -51,12 +51,16 @@
 	return out
 }
 
-// hashTerms returns a hash of the terms of a record, regardless of their order.
+// hashTerms returns a hash of the terms of a record, regardless of their order. A term of
+// zero counts as none.
 func hashTerms(r leaser.Record) uint64 {
 	var sum uint64
 	var d xxhash.Digest
 	for kind, terms := range [...]map[string]uint64{r.Superseded, r.Opened} {
 		for group, term := range terms {
+			if term == 0 {
+				continue
+			}
 			var b [9]byte
 			b[0] = byte(kind)
 			binary.LittleEndian.PutUint64(b[1:], term)
--- a/renewer/changes_test.go
+++ b/renewer/changes_test.go
@@ -69,7 +69,8 @@
 	case 1, 2:
 		next.Opened[group] = next.Superseded[group] + 1
 	default:
-		next.Superseded[group]++
+		// The former term of a group without a known primary is zero.
+		next.Superseded[group] += r.Uint64N(2)
 	}
 	return next
 }
@@ -170,6 +171,22 @@
 	g.Expect(to.Record()).To(Equal(record))
 }
 
+// A term of zero, as of a group whose primary was never known, must not count as a mismatch:
+// from then on, each VM would be sent the whole record.
+func TestChangesWithTermZero(t *testing.T) {
+	g := NewWithT(t)
+	from, to := newExchange("from"), newExchange("to")
+	record := leaser.Record{Writes: 1, Superseded: map[string]uint64{"a": 1, "b": 1, "c": 1}}
+	from.apply(start, start, record)
+	from.sendRecord(start, to.peer())
+	from.deliver(to)
+	record.Writes, record.Superseded = 2, map[string]uint64{"a": 1, "b": 1, "c": 1, "d": 0}
+	from.apply(start, start, record)
+	from.sendRecord(start, to.peer())
+	from.deliver(to)
+	g.Expect(to.Record().Writes).To(Equal(uint64(2)))
+}
+
 // A process of an earlier version knows no changes: it is sent whole records, and its
 // whole records are taken.
 func TestRecordsOfEarlierVersion(t *testing.T) {
