--- a/renewer/changes_test.go
+++ b/renewer/changes_test.go
@@ -57,6 +57,12 @@
 	e.HandleResponse(start, response)
 }
 
+// announce sends a VM the record and takes its response.
+func (e *exchange) announce(to *exchange) {
+	e.sendRecord(start, to.peer())
+	e.deliver(to)
+}
+
 // nextRecord returns a record that follows another one: one more term is superseded or
 // opened, or one is withdrawn.
 func nextRecord(r *rand.Rand, before leaser.Record, groups int) leaser.Record {
@@ -93,8 +99,7 @@
 			case 1:
 				from.apply(start, start, latest)
 			case 2:
-				from.sendRecord(start, to.peer())
-				from.deliver(to)
+				from.announce(to)
 			case 3:
 				from.sendRequest(start, to.peer())
 				from.deliver(to)
@@ -121,7 +126,7 @@
 		name   string
 		repeat func(from, to *exchange)
 	}{
-		{"announced", func(from, to *exchange) { from.sendRecord(start, to.peer()); from.deliver(to) }},
+		{"announced", func(from, to *exchange) { from.announce(to) }},
 		{"requested", func(from, to *exchange) { to.sendRequest(start, from.peer()); to.deliver(from) }},
 	}
 	for _, tt := range tests {
@@ -154,13 +159,11 @@
 	}
 	from, to := newExchange("from"), newExchange("to")
 	from.apply(start, start, record)
-	from.sendRecord(start, to.peer())
-	from.deliver(to)
+	from.announce(to)
 	g.Expect(to.Record()).To(Equal(record))
 	record = nextRecord(r, record, 1300)
 	from.apply(start, start, record)
-	from.sendRecord(start, to.peer())
-	from.deliver(to)
+	from.announce(to)
 	g.Expect(from.bytes).To(BeNumerically("<", 200))
 	g.Expect(to.Record()).To(Equal(record))
 	record = nextRecord(r, record, 1300)
@@ -178,12 +181,10 @@
 	from, to := newExchange("from"), newExchange("to")
 	record := leaser.Record{Writes: 1, Superseded: map[string]uint64{"a": 1, "b": 1, "c": 1}}
 	from.apply(start, start, record)
-	from.sendRecord(start, to.peer())
-	from.deliver(to)
+	from.announce(to)
 	record.Writes, record.Superseded = 2, map[string]uint64{"a": 1, "b": 1, "c": 1, "d": 0}
 	from.apply(start, start, record)
-	from.sendRecord(start, to.peer())
-	from.deliver(to)
+	from.announce(to)
 	g.Expect(to.Record().Writes).To(Equal(uint64(2)))
 }
 
