feat: log which VMs watch the store and when it last answered

Cause: the logs did not tell whether a VM that stays behind a configuration watches the store, relies on others, or gets old answers. Change: a line store-watch when a VM begins or ends to watch, the time since the last answer in store-lost, and metrics of both. No decision changes.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -15,7 +15,7 @@
 func (p *Proxy) samples() []measurer.Sample {
 	now := p.Parts.Clock.Now()
 	out := p.processSamples(now)
-	out = append(out, p.platformSamples()...)
+	out = append(out, p.platformSamples(now)...)
 	out = append(out, p.trafficSamples()...)
 	out = append(out, p.instanceSamples(now)...)
 	return append(out, p.rateSamples()...)
@@ -54,11 +54,13 @@
 }
 
 // platformSamples returns the metrics of the platform's store and of promotions.
-func (p *Proxy) platformSamples() []measurer.Sample {
+func (p *Proxy) platformSamples(now time.Time) []measurer.Sample {
 	calls := p.Parts.Adapter.Store().Calls()
 	accepted, failed := p.Switcher.Promotions()
 	return []measurer.Sample{
 		gauge(boolValue(p.State.storeUnreachable.Load()), "store_lost"),
+		gauge(boolValue(p.State.watchesStore.Load()), "store_watched"),
+		gauge(p.State.storeSilence(now).Seconds(), "store_answer_age_seconds"),
 		counter(calls.Reads, "store_calls_total{kind=%q}", "read"),
 		counter(calls.Writes, "store_calls_total{kind=%q}", "write"),
 		counter(calls.Watches, "store_calls_total{kind=%q}", "watch"),
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -63,7 +63,10 @@
 	storeUnreachable atomic.Bool
 	// storeRecoveredAt is when the store last became reachable again, in Unix nanoseconds.
 	storeRecoveredAt atomic.Int64
-	instances        *observer.InstanceList
+	// storeAnsweredAt is when the store last answered this VM, in Unix nanoseconds; 0 before
+	// its first answer.
+	storeAnsweredAt atomic.Int64
+	instances       *observer.InstanceList
 	// listing is the list of instances as the store holds it; listingChange is the revision
 	// of its last relevant change. instanceIDs holds the ids of its valid instances, by key,
 	// under applyMu.
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -109,6 +109,7 @@
 // recordStoreResult records whether a call to the store succeeded.
 func (s *state) recordStoreResult(j *journaler.Journaler, now time.Time, err error) {
 	if err == nil {
+		s.storeAnsweredAt.Store(now.UnixNano())
 		if s.storeUnreachable.Swap(false) {
 			s.storeRecoveredAt.Store(now.UnixNano())
 			j.LogStateChange("store-regained")
@@ -116,10 +117,19 @@
 		return
 	}
 	if !s.storeUnreachable.Swap(true) {
-		j.LogStateChange("store-lost", journaler.Err(err))
+		j.LogStateChange("store-lost", journaler.Err(err), journaler.F("unanswered", s.storeSilence(now)))
 	}
 }
 
+// storeSilence returns the time since the store last answered this VM, or since the start.
+func (s *state) storeSilence(now time.Time) time.Duration {
+	answered := s.startedAt
+	if at := s.storeAnsweredAt.Load(); at != 0 {
+		answered = time.Unix(0, at)
+	}
+	return now.Sub(answered)
+}
+
 // followCatalogue keeps the configuration up to date.
 func (p *Proxy) followCatalogue(ctx context.Context) error {
 	key := p.Parts.Adapter.CatalogueKey()
@@ -198,7 +208,10 @@
 	}
 	rank := p.watchRank(gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near))
 	skip := rank >= watchersPerZone && fresh >= watchersPerZone && !p.State.storeUnreachable.Load()
-	p.State.watchesStore.Store(!skip)
+	if p.State.watchesStore.Swap(!skip) == skip {
+		p.Journal.LogStateChange("store-watch", journaler.F("watches", !skip), journaler.F("rank", rank), journaler.F("fresh", fresh),
+			journaler.F("unanswered", p.State.storeSilence(now)))
+	}
 	return skip
 }
 
