fix: a VM does not rely on others for the configuration beyond its bound

Callers saw withdrawn keys served up to 3.1 s after the acknowledgement, and routes of older configurations, where 3 s is the bound. Cause: two VMs of each availability zone watch the store for the others. A watch call waits 4 s (8 s in a large fleet), so a store or a connection that goes silent is noticed after 4.7 s (8.7 s), more than the whole bound. The others had no way to tell that nobody had heard from the store: a flag in the messages said that a VM watches and has not failed yet. Then they waited for up to 0.6 s for each VM of their zone before they called the store. Change: package verifier keeps the time as of which the configuration in force was the store's latest for certain, by an own read or by what other VMs say, with its age in their messages. A watch waits a third of the bound; a VM whose configuration was not verified for 0.6 of it reads the store itself, at once, the VMs of a zone over a further tenth. The bound is a setting. A first failed call is retried soon, since only its connection may be dead. Why it works: a change after the last verification is read within 0.7 of the bound and the time of a call, whatever becomes of the VMs that watch.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
 	"github.com/marigoldgauge/marigoldgauge/throttler"
+	"github.com/marigoldgauge/marigoldgauge/verifier"
 	"github.com/marigoldgauge/marigoldgauge/versioner"
 )
 
@@ -30,6 +31,7 @@
 	newState,
 	func(p Dependencies) *journaler.Journaler { return journaler.New(p.Log, p.Clock) },
 	cataloguer.NewHolder,
+	newVerifier,
 	measurer.New,
 	newObserver,
 	throttler.New,
@@ -131,6 +133,11 @@
 	return dispatcher.New(dispatcher.Dependencies{Observer: o, Throttler: s, Borrower: b, Remote: e, Shares: h, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
 }
 
+// newVerifier returns the verifier of this process.
+func newVerifier(p Dependencies) *verifier.Verifier {
+	return verifier.New(p.Clock.Now(), p.Settings.Configuration)
+}
+
 // newSessionServer returns a server without sessions.
 func newSessionServer(p Dependencies, c *cataloguer.Holder, d *dispatcher.Dispatcher, j *journaler.Journaler) *sessioner.Server {
 	s := &sessioner.Server{Catalogue: c, Runner: d, Clock: p.Clock, Journal: j}
--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/throttler"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
+	"github.com/marigoldgauge/marigoldgauge/verifier"
 )
 
 // demandScale converts operations per second to the unit of a message.
@@ -28,6 +29,7 @@
 	dig.In
 
 	Catalogue  *cataloguer.Holder
+	Verifier   *verifier.Verifier
 	Observer   *observer.Observer
 	Sharer     *throttler.Throttler
 	Dispatcher *dispatcher.Dispatcher
@@ -67,6 +69,8 @@
 		ListRevision: n.State.listingChange.Load(), ListFresh: n.State.watchesStore.Load() && !n.State.storeUnreachable.Load(),
 	}
 	m.Capacity = n.settings.VM.CapacityClass()
+	// The version is read after the time as of which it is verified.
+	m.VerifiedAge = max(n.Verifier.Age(now), gossiper.MinVerifiedAge)
 	m.Version, m.SkipsVotes = n.Catalogue.Version(), !n.State.standby.Load()
 	if to == gossiper.ToAll {
 		for organisation, demand := range n.Sharer.SnapshotDemand(now) {
@@ -237,6 +241,9 @@
 // receive handles a message of another VM.
 func (n *gossipHandler) receive(now time.Time, m gossiper.Message) {
 	n.State.noteVersion(now, m, n.Catalogue.Version())
+	if m.VerifiedAge > 0 && !m.Composed.IsZero() {
+		n.Verifier.Learn(m.Version, m.Composed.Add(-m.VerifiedAge))
+	}
 	for _, g := range m.Groups {
 		if g.Primary != "" && n.Observer.LearnPrimary(now, g.Group, g.Primary, g.Term) {
 			n.setLearned(g, sourceOf(m))
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -36,13 +36,14 @@
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
 	known := func() bool { return p.State.listingChange.Load() > 0 }
-	return p.watchPrefix(ctx, p.Parts.Adapter.InstancesPrefix(), known, func(u versioner.Update) {
+	w := p.newWatcher(p.Parts.Adapter.InstancesPrefix(), p.instancesWatchTimeout, known, func(u versioner.Update) {
 		p.State.applyMu.Lock()
 		defer p.State.applyMu.Unlock()
 		if news, ok := p.State.listing.Update(u); ok {
 			p.applyInstances(news, u.Revision)
 		}
 	})
+	return w.Run(ctx)
 }
 
 // fetchListing fetches the changes of the list of instances from another VM and applies
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -46,6 +46,7 @@
 		gauge(boolValue(p.Sessions.Leaving()), "leaving"),
 		gauge(float64(p.Catalogue.Version()), "configuration_version"),
 		gauge(p.Catalogue.Age(now).Seconds(), "configuration_in_force_seconds"),
+		gauge(p.Verifier.Age(now).Seconds(), "configuration_verified_age_seconds"),
 		gauge(float64(len(p.Gossiper.Alive(now))), "vms_heard"),
 		gauge(boolValue(p.Gossiper.IsRelay(now)), "speaks"),
 		gauge(float64(p.UnitServer.Active()), "units_under_way"),
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -28,6 +28,7 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
 	"github.com/marigoldgauge/marigoldgauge/throttler"
+	"github.com/marigoldgauge/marigoldgauge/verifier"
 	"github.com/marigoldgauge/marigoldgauge/versioner"
 )
 
@@ -39,6 +40,7 @@
 	Journal    *journaler.Journaler
 	Measurer   *measurer.Measurer
 	Catalogue  *cataloguer.Holder
+	Verifier   *verifier.Verifier
 	Observer   *observer.Observer
 	Sharer     *throttler.Throttler
 	Dispatcher *dispatcher.Dispatcher
--- a/assembler/reload.go
+++ b/assembler/reload.go
@@ -44,7 +44,7 @@
 func (p *Proxy) apply(old, next loader.HostedSettings, signalled bool) {
 	p.Sessions.SetGrace(next.Grace)
 	needsRestart := !reflect.DeepEqual(old.VM, next.VM) || old.Listen != next.Listen || old.Platform != next.Platform || old.Log != next.Log ||
-		old.Lease != next.Lease || old.Drain != next.Drain
+		old.Lease != next.Lease || old.Drain != next.Drain || old.Configuration != next.Configuration
 	p.Journal.LogStateChange("settings-reloaded", journaler.F("signalled", signalled), journaler.F("changed", true),
 		journaler.F("needs-restart", needsRestart))
 }
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// defaultWatchTimeout bounds one watch call to the store: long, since each call has a
-	// price, and short enough to detect a dead connection. Meanwhile other VMs
-	// announce later configurations.
+	// defaultWatchTimeout bounds one watch of the list of instances: long, since each call has
+	// a price, and short enough to detect a dead connection. Meanwhile other VMs announce
+	// later lists.
 	defaultWatchTimeout = 4 * time.Second
-	// largeFleetWatchTimeout bounds one watch call in a large fleet, where many VMs watch.
+	// largeFleetWatchTimeout bounds one such watch in a large fleet, where many VMs watch.
 	largeFleetWatchTimeout = 8 * time.Second
 	// peerStateTimeout is how long a process that has just started waits for the store's
 	// content from other VMs: they respond within a few hundred milliseconds.
@@ -56,13 +56,13 @@
 	registrationListTimePerVM = 500 * time.Millisecond
 )
 
-// watchPrefix watches a prefix of the store and applies its changes.
-func (p *Proxy) watchPrefix(ctx context.Context, prefix string, known func() bool, apply func(u versioner.Update)) error {
-	f := watcher.Watcher{
-		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: p.watchTimeout, Clock: p.Parts.Clock, Apply: apply, OnStoreCall: p.recordStoreResult,
-		MaxBackoff: p.maxRetryDelay, Suspend: p.skipsWatch, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
+// newWatcher returns a Watcher of a prefix of the store. known reports that its objects are
+// known from another source.
+func (p *Proxy) newWatcher(prefix string, wait func() time.Duration, known func() bool, apply func(u versioner.Update)) watcher.Watcher {
+	return watcher.Watcher{
+		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: wait, Clock: p.Parts.Clock, Apply: apply, OnStoreCall: p.recordStoreResult,
+		MaxBackoff: p.maxRetryDelay, Suspend: p.watchSuspension, Urgent: p.Verifier.IsStale, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
 	}
-	return f.Run(ctx)
 }
 
 // mayQueryStore reports whether a process may query the store. Just after the start, in a
@@ -93,8 +93,8 @@
 	return min(time.Duration(rank/watchersPerZone)*queryTurnInterval, maxQueryTurn)
 }
 
-// watchTimeout returns the timeout of one watch call.
-func (p *Proxy) watchTimeout() time.Duration {
+// instancesWatchTimeout returns the timeout of one watch of the list of instances.
+func (p *Proxy) instancesWatchTimeout() time.Duration {
 	if p.Gossiper.IsLarge() {
 		return largeFleetWatchTimeout
 	}
@@ -135,13 +135,15 @@
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:strings.LastIndexByte(key, '/')+1]
 	known := func() bool { return p.Catalogue.Current() != nil }
-	return p.watchPrefix(ctx, prefix, known, func(u versioner.Update) {
+	w := p.newWatcher(prefix, p.Verifier.WatchTimeout, known, func(u versioner.Update) {
 		for _, o := range u.Objects {
 			if o.Key == key {
 				p.applyCatalogue(o.Value, "store")
 			}
 		}
 	})
+	w.OnVerified = p.Verifier.Verify
+	return w.Run(ctx)
 }
 
 // applyCatalogue applies a configuration unless a later one is active.
@@ -158,6 +160,7 @@
 	if !p.Catalogue.Install(p.Parts.Clock.Now(), c) {
 		return
 	}
+	p.Verifier.Install(c.Version)
 	p.configureComponents(before, c)
 	p.State.bodies.add(raw)
 	p.announceChange()
@@ -196,9 +199,10 @@
 	watchRankingKey = gossiper.RelayDuty
 )
 
-// skipsWatch reports whether this VM does not watch the store because enough others of
-// its availability zone do, which announce changes to it.
-func (p *Proxy) skipsWatch(now time.Time) bool {
+// watchSuspension returns for how long this VM does not watch the store because enough others
+// of its availability zone do, which announce changes to it: until its configuration may be
+// outdated. It is zero for a VM that watches.
+func (p *Proxy) watchSuspension(now time.Time) time.Duration {
 	near := p.Gossiper.AliveInZone(now)
 	fresh := 0
 	for _, peer := range near {
@@ -206,13 +210,18 @@
 			fresh++
 		}
 	}
-	rank := p.watchRank(gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near))
-	skip := rank >= watchersPerZone && fresh >= watchersPerZone && !p.State.storeUnreachable.Load()
+	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near)
+	rank := p.watchRank(names)
+	suspension := p.Verifier.UntilRead(now, rank, len(names))
+	if rank < watchersPerZone || fresh < watchersPerZone || p.State.storeUnreachable.Load() {
+		suspension = 0
+	}
+	skip := suspension > 0
 	if p.State.watchesStore.Swap(!skip) == skip {
 		p.Journal.LogStateChange("store-watch", journaler.F("watches", !skip), journaler.F("rank", rank), journaler.F("fresh", fresh),
-			journaler.F("unanswered", p.State.storeSilence(now)))
+			journaler.F("unanswered", p.State.storeSilence(now)), journaler.F("verified", p.Verifier.Age(now)))
 	}
-	return skip
+	return suspension
 }
 
 // retryDelayPerVM is the delay that each VM of an availability zone adds between two
--- a/gossiper/compact_message.go
+++ b/gossiper/compact_message.go
@@ -12,11 +12,22 @@
 	Version  uint64            `cbor:"2,keyasint,omitempty"`
 	Groups   []compactStatus   `cbor:"3,keyasint,omitempty"`
 	Demand   map[string]uint32 `cbor:"4,keyasint,omitempty"`
+	// VerifiedAge is in units of verifiedAgeUnit, rounded up.
+	VerifiedAge uint64 `cbor:"5,keyasint,omitempty"`
 }
 
+// verifiedAgeUnit is the resolution of VerifiedAge in a compact message, and maxVerifiedAge
+// the greatest one in a message that is decoded: it keeps the conversion from overflowing.
+const (
+	verifiedAgeUnit = 100 * time.Millisecond
+	maxVerifiedAge  = uint64(time.Hour / verifiedAgeUnit)
+)
+
 // compact returns the fields of the message that are not in its profile.
 func (m *Message) compact() compactMessage {
-	c := compactMessage{Sequence: m.Sequence, Version: m.Version, Demand: m.Demand}
+	c := compactMessage{
+		Sequence: m.Sequence, Version: m.Version, Demand: m.Demand, VerifiedAge: uint64((max(m.VerifiedAge, 0) + verifiedAgeUnit - 1) / verifiedAgeUnit),
+	}
 	for _, s := range m.Groups {
 		c.Groups = append(c.Groups, s.compact())
 	}
@@ -27,6 +38,7 @@
 func (c *compactMessage) message(p *profile) Message {
 	m := p.message()
 	m.Sequence, m.Version, m.Demand = c.Sequence, c.Version, c.Demand
+	m.VerifiedAge = time.Duration(min(c.VerifiedAge, maxVerifiedAge)) * verifiedAgeUnit
 	for _, s := range c.Groups {
 		m.Groups = append(m.Groups, s.status())
 	}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -59,6 +59,10 @@
 	// Capacity is the capacity class of the VM. VMs of the highest class are relays.
 	Capacity uint8 `cbor:"14,keyasint,omitempty"`
 
+	// VerifiedAge is the time since the store had no later version than Version for certain.
+	// Zero if unknown.
+	VerifiedAge time.Duration `cbor:"15,keyasint,omitempty"`
+
 	// Votes are the states of the groups that count as votes of this VM. Nil stands for
 	// those in Groups.
 	Votes []GroupStatus `cbor:"-"`
@@ -71,6 +75,9 @@
 	FullState bool `cbor:"-"`
 }
 
+// MinVerifiedAge is the least VerifiedAge of a message.
+const MinVerifiedAge = time.Millisecond
+
 // setComposed sets the time at which the message was composed, if known.
 func (m *Message) setComposed(composed time.Time, known bool) {
 	if known {
--- a/loader/hostedsettings.go
+++ b/loader/hostedsettings.go
@@ -29,6 +29,9 @@
 	Grace time.Duration `yaml:"grace"`
 	// Drain is how long an instance that has announced its shutdown still receives new work.
 	Drain time.Duration `yaml:"drain"`
+	// Configuration is how long a change of the configuration may take to be in force on all
+	// VMs.
+	Configuration time.Duration `yaml:"configuration"`
 	// Lease is the duration of the lease on the replacement of primaries. A VM that
 	// stops renewing it keeps that duty for as long.
 	Lease time.Duration `yaml:"lease"`
@@ -117,6 +120,7 @@
 func (h *HostedSettings) SetDefaults() {
 	setDefault(&h.Grace, 6*time.Second)
 	setDefault(&h.Drain, 7*time.Second)
+	setDefault(&h.Configuration, 3*time.Second)
 	setDefault(&h.Lease, 5*time.Second)
 	setDefault(&h.Platform.DutiesRate, defaultDutiesRate)
 	setDefault(&h.Log.Level, "info")
@@ -145,6 +149,7 @@
 	require(err == nil, "log.level must be debug, info, warn or error")
 	require(h.Grace >= time.Second, "grace must be at least 1s")
 	require(h.Drain >= 3*time.Second, "drain must be at least 3s")
+	require(h.Configuration >= time.Second, "configuration must be at least 1s")
 	require(h.Lease >= time.Second, "lease must be at least 1s")
 	return problems
 }
--- a/loader/hostedsettings_test.go
+++ b/loader/hostedsettings_test.go
@@ -17,6 +17,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(h.Lease).To(Equal(4 * time.Second))
 	g.Expect(h.Drain).To(Equal(7 * time.Second))
+	g.Expect(h.Configuration).To(Equal(3 * time.Second))
 	g.Expect(h.Listen.Peers.String()).To(Equal("10.1.0.26:7560"))
 	g.Expect(h.Log.Level).To(Equal("info"))
 }
@@ -29,6 +30,7 @@
 		{"unknown field", `grace: "6s"`, `graec: "6s"`, `did you mean "grace"?`},
 		{"lease too short", `lease: "4000ms"`, `lease: "4ms"`, "lease must be at least 1s"},
 		{"drain too short", `grace: "6s"`, "grace: 6s\ndrain: 2s", "drain must be at least 3s"},
+		{"bound of the configuration too short", `grace: "6s"`, "grace: 6s\nconfiguration: 900ms", "configuration must be at least 1s"},
 		{"negative rate", `duties: "10.200.0.2:8466"`, `duties-rate: -1`, "platform.duties-rate must be a positive number"},
 		{"rate without a bound", `duties: "10.200.0.2:8466"`, `duties-rate: .inf`, "platform.duties-rate must be a positive number"},
 		{"missing identifier", `id: "edge-1"`, `id: ""`, "vm.id is missing"},
--- /dev/null
+++ b/verifier/verifier.go
@@ -0,0 +1,118 @@
+// Package verifier tracks the time as of which the configuration in force is known to be the
+// latest one in the platform's store, and decides when a VM that leaves the store to other VMs
+// has to read the configuration itself.
+//
+// Other VMs may stop reading the store without noticing, or without being able to say so. What
+// they have verified therefore ages, and is not trusted until they report a failure.
+package verifier
+
+import (
+	"sync"
+	"time"
+)
+
+// The parts of the bound on the time until a configuration is in force.
+const (
+	// watchFraction is how long a VM that watches the store waits for one response.
+	watchFraction = 1.0 / 3
+	// staleFraction is the age from which the configuration is not relied upon. It exceeds
+	// that of watches by the time that the messages of other VMs take.
+	staleFraction = 0.6
+	// spreadFraction is the time over which the VMs of an availability zone then read the
+	// store, one after the other. What is left is for the reading.
+	spreadFraction = 0.1
+)
+
+// Verifier tracks the age of the configuration. It is safe for concurrent use.
+type Verifier struct {
+	bound time.Duration
+
+	mu sync.Mutex
+	// version is the version in force, verified as of asOf.
+	version uint64
+	asOf    time.Time
+	// announced is the last claim on a later version than the one in force.
+	announced claim
+}
+
+// claim states that the store had no later version than this one as of a time.
+type claim struct {
+	version uint64
+	asOf    time.Time
+}
+
+// New returns the Verifier of a process that starts now, for a bound on the time from the
+// change of the configuration until it is in force.
+func New(now time.Time, bound time.Duration) *Verifier {
+	return &Verifier{bound: bound, asOf: now}
+}
+
+// WatchTimeout returns the timeout of one watch call for the configuration.
+func (v *Verifier) WatchTimeout() time.Duration { return part(v.bound, watchFraction) }
+
+// Install records the version that is in force from now on.
+func (v *Verifier) Install(version uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.version = max(v.version, version)
+	if v.announced.version <= v.version {
+		v.verify(v.announced.asOf)
+	}
+}
+
+// Verify records that this VM has read the store's configuration as of a time, and has put
+// it in force if it was later.
+func (v *Verifier) Verify(asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.verify(asOf)
+}
+
+// Learn records that another VM knows that the store had no later version as of a time. That
+// counts once this VM has this version in force.
+func (v *Verifier) Learn(version uint64, asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case version <= v.version:
+		v.verify(asOf)
+	case asOf.After(v.announced.asOf):
+		v.announced = claim{version: version, asOf: asOf}
+	}
+}
+
+// verify advances the time as of which the configuration is verified. The caller must hold
+// v.mu.
+func (v *Verifier) verify(asOf time.Time) {
+	if asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+}
+
+// Age returns the time since the configuration in force was the latest one for certain.
+func (v *Verifier) Age(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(now.Sub(v.asOf), 0)
+}
+
+// IsStale reports whether the configuration is too old to be relied upon.
+func (v *Verifier) IsStale(now time.Time) bool {
+	return v.Age(now) >= part(v.bound, staleFraction)
+}
+
+// UntilRead returns the time until a VM that leaves the store to others has to read it, if it
+// learns nothing until then. rank is its position among the VMs of its availability zone,
+// from 0; the zone's VMs read one after the other, so that the first ones can tell the others.
+func (v *Verifier) UntilRead(now time.Time, rank, vms int) time.Duration {
+	turn := time.Duration(0)
+	if vms > 0 {
+		turn = part(v.bound, spreadFraction) * time.Duration(rank) / time.Duration(vms)
+	}
+	return max(part(v.bound, staleFraction)+turn-v.Age(now), 0)
+}
+
+// part returns a part of a duration.
+func part(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * fraction)
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -21,8 +21,8 @@
 	batchDelay = 150 * time.Millisecond
 	// beginInterval is the interval at which ShouldStart is polled.
 	beginInterval = 50 * time.Millisecond
-	// holdInterval is the interval at which Suspend is polled.
-	holdInterval = 500 * time.Millisecond
+	// maxSuspension is the longest time until Suspend is called again.
+	maxSuspension = 500 * time.Millisecond
 )
 
 // Watcher watches the objects under one prefix.
@@ -40,11 +40,18 @@
 	// and whenever changes may have been missed, otherwise the changes since the preceding
 	// update, of which there may be none.
 	Apply func(u versioner.Update)
+	// OnVerified, if set, receives after Apply the time as of which the objects were the
+	// store's.
+	OnVerified func(asOf time.Time)
 	// MaxBackoff returns the maximum backoff while the store does not respond. Nil stands
 	// for maxBackoff. VMs with a longer maximum let other VMs retry first.
 	MaxBackoff func(now time.Time) time.Duration
-	// Suspend reports whether to suspend calls to the store. Nil never suspends them.
-	Suspend func(now time.Time) bool
+	// Suspend returns for how long to suspend calls to the store, zero for not at all. Nil
+	// never suspends them. It is called again within maxSuspension.
+	Suspend func(now time.Time) time.Duration
+	// Urgent reports that the objects may be outdated, so that suspended calls resume without
+	// letting other VMs go first. Nil stands for never.
+	Urgent func(now time.Time) bool
 	// ShouldStart reports whether to make the first call. Nil always allows it. KnownElsewhere
 	// reports that the objects are known from another source, so that Suspend may
 	// suspend calls before the first one.
@@ -62,11 +69,11 @@
 
 // Run watches the prefix until ctx ends.
 func (f *Watcher) Run(ctx context.Context) error {
-	backoff := initialBackoff
+	backoff, failures := initialBackoff, 0
 	for ctx.Err() == nil {
-		if f.shouldSuspend() {
+		if d := f.suspension(); d > 0 {
 			f.suspended = true
-			if !timekeeper.Sleep(ctx, holdInterval) {
+			if !timekeeper.Sleep(ctx, min(d, maxSuspension)) {
 				return nil
 			}
 			continue
@@ -79,10 +86,10 @@
 		}
 		limit := f.backoffLimit()
 		if f.suspended {
-			if limit > maxBackoff && !timekeeper.Sleep(ctx, rand.N(limit)) {
+			if limit > maxBackoff && !f.isUrgent() && !timekeeper.Sleep(ctx, rand.N(limit)) {
 				return nil
 			}
-			if f.Suspend(f.Clock.Now()) {
+			if f.Suspend(f.Clock.Now()) > 0 {
 				continue
 			}
 			// The store may have discarded the history since then, so the next call
@@ -95,10 +102,11 @@
 		}
 		f.OnStoreCall(f.Clock.Now(), err)
 		if err == nil {
-			backoff = initialBackoff
+			backoff, failures = initialBackoff, 0
 			continue
 		}
-		if limit > maxBackoff {
+		// The first failure may be due to the connection only.
+		if failures++; failures > 1 && limit > maxBackoff {
 			backoff = limit
 		}
 		if !timekeeper.Sleep(ctx, backoff/2+rand.N(backoff)) {
@@ -109,10 +117,18 @@
 	return nil
 }
 
-// shouldSuspend reports whether to suspend calls to the store.
-func (f *Watcher) shouldSuspend() bool {
+// suspension returns for how long to suspend calls to the store, zero for not at all.
+func (f *Watcher) suspension() time.Duration {
 	known := f.listed || (f.KnownElsewhere != nil && f.KnownElsewhere())
-	return known && f.Suspend != nil && f.Suspend(f.Clock.Now())
+	if !known || f.Suspend == nil {
+		return 0
+	}
+	return f.Suspend(f.Clock.Now())
+}
+
+// isUrgent reports whether the objects may be outdated.
+func (f *Watcher) isUrgent() bool {
+	return f.Urgent != nil && f.Urgent(f.Clock.Now())
 }
 
 // backoffLimit returns the current maximum backoff.
@@ -125,6 +141,7 @@
 
 // step makes one call to the store and applies its response.
 func (f *Watcher) step(ctx context.Context) error {
+	startedAt := f.Clock.Now()
 	if !f.listed {
 		page, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
@@ -134,9 +151,11 @@
 		u.Whole, u.Removed = true, nil
 		f.listed = true
 		f.Apply(u)
+		f.recordVerified(startedAt)
 		return nil
 	}
-	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.Wait())
+	wait := f.Wait()
+	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
 	if err != nil {
 		return err
 	}
@@ -145,6 +164,8 @@
 		return nil
 	}
 	f.Apply(f.update(page))
+	// A response that has been on its way for long is not taken for a later one.
+	f.recordVerified(earlier(f.Clock.Now(), startedAt.Add(wait)))
 	if len(page.Objects) > 0 {
 		// Changes often come in bursts, so that the next call returns several at once.
 		timekeeper.Sleep(ctx, batchDelay)
@@ -152,6 +173,21 @@
 	return nil
 }
 
+// recordVerified passes on that the objects are the store's as of a time.
+func (f *Watcher) recordVerified(asOf time.Time) {
+	if f.OnVerified != nil {
+		f.OnVerified(asOf)
+	}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // update returns the update that a page stands for: the last state of each object in it.
 func (f *Watcher) update(page keeper.Page) versioner.Update {
 	f.revision = max(f.revision, page.Revision)
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -55,7 +55,7 @@
 
 // follow runs a Watcher on a fake store for 20 s and returns the revisions of the objects
 // of a list that follows its updates, by key, and the updates with changes.
-func follow(t *testing.T, s *fakeStore, hold func(now time.Time) bool) (got map[string]uint64, updates []versioner.Update) {
+func follow(t *testing.T, s *fakeStore, hold func(now time.Time) time.Duration) (got map[string]uint64, updates []versioner.Update) {
 	list := versioner.NewList()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -138,14 +138,50 @@
 	g := NewWithT(t)
 	s := &fakeStore{lists: []*keeper.Page{{Revision: 4, Objects: []keeper.Object{object("k/a", 3)}}, {Revision: 30, Objects: []keeper.Object{object("k/b", 29)}}}}
 	calls := 0
-	got, _ := follow(t, s, func(time.Time) bool {
+	got, _ := follow(t, s, func(time.Time) time.Duration {
 		calls++
-		return calls < 10
+		return suspensionWhile(calls < 10)
 	})
 	g.Expect(got).To(Equal(map[string]uint64{"k/b": 29}))
 	g.Expect(s.listed).To(Equal(2))
 }
 
+// suspensionWhile returns a suspension of a second while a condition holds.
+func suspensionWhile(holds bool) time.Duration {
+	if holds {
+		return time.Second
+	}
+	return 0
+}
+
+// Guards against a VM that relied on others, has learnt nothing for too long, and then lets
+// others of its zone go first, or does not retry soon when its connection is a dead one.
+func TestOutdatedObjectsAreReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		start := time.Now()
+		s := &fakeStore{lists: []*keeper.Page{nil, {Revision: 9, Objects: []keeper.Object{object("k/a", 8)}}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var verified []time.Duration
+		f := watcher.Watcher{Store: s, Prefix: "k/", Wait: func() time.Duration { return time.Second }, Clock: timekeeper.ClockFunc(time.Now),
+			OnStoreCall: func(time.Time, error) {}, Apply: func(versioner.Update) {}, KnownElsewhere: func() bool { return true },
+			OnVerified: func(asOf time.Time) { verified = append(verified, asOf.Sub(start)) },
+			MaxBackoff: func(time.Time) time.Duration { return 7200 * time.Millisecond },
+			Suspend:    func(now time.Time) time.Duration { return max(start.Add(1850*time.Millisecond).Sub(now), 0) },
+			Urgent:     func(time.Time) bool { return true }}
+		var group errgroup.Group
+		group.Go(func() error { return f.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		cancel()
+		g.Expect(group.Wait()).To(Succeed())
+		g.Expect(verified).NotTo(BeEmpty())
+		g.Expect(verified[0]).To(BeNumerically(">=", 1850*time.Millisecond))
+		g.Expect(verified[0]).To(BeNumerically("<=", 2100*time.Millisecond))
+		// Each watch without a change verifies the objects as of its end.
+		g.Expect(verified[2] - verified[1]).To(Equal(time.Second))
+	})
+}
+
 // VMs with a longer maximum backoff call the store rarely while it does not
 // respond, and not all at the same time.
 func TestMaximumBackoff(t *testing.T) {
@@ -170,9 +206,9 @@
 				f := watcher.Watcher{Store: s, Prefix: "k/", Wait: func() time.Duration { return 4 * time.Second }, Clock: timekeeper.ClockFunc(time.Now),
 					OnStoreCall: func(time.Time, error) {}, Apply: func(versioner.Update) {},
 					MaxBackoff: func(time.Time) time.Duration { return tt.limit },
-					Suspend: func(time.Time) bool {
+					Suspend: func(time.Time) time.Duration {
 						polls++
-						return polls < 4
+						return suspensionWhile(polls < 4)
 					}}
 				var group errgroup.Group
 				group.Go(func() error { return f.Run(ctx) })
