fix: a VM that resumes reading the store lets others go first only until the bound

Cause: the watchers had reported the store lost while the configuration was not stale yet, so edge-sofia-a-4 resumed early and, not being urgent, slept up to 0.6 s for each VM of its zone: from 12.04 to 14.50 s, past the moment at which it had to read. Change: that delay ends when the configuration has to be read. A test in virtual time silences all connections of a fleet, which new ones survive.

--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -61,7 +61,7 @@
 func (p *Proxy) newWatcher(prefix string, wait func() time.Duration, known func() bool, apply func(u versioner.Update)) watcher.Watcher {
 	return watcher.Watcher{
 		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: wait, Clock: p.Parts.Clock, Apply: apply, OnStoreCall: p.recordStoreResult,
-		MaxBackoff: p.maxRetryDelay, Suspend: p.watchSuspension, Urgent: p.Verifier.IsStale, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
+		MaxBackoff: p.maxRetryDelay, Suspend: p.watchSuspension, MaxDelay: p.untilRead, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
 	}
 }
 
@@ -210,9 +210,8 @@
 			fresh++
 		}
 	}
-	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near)
-	rank := p.watchRank(names)
-	suspension := p.Verifier.UntilRead(now, rank, len(names))
+	rank := p.watchRank(gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near))
+	suspension := p.untilRead(now)
 	if rank < watchersPerZone || fresh < watchersPerZone || p.State.storeUnreachable.Load() {
 		suspension = 0
 	}
@@ -224,6 +223,13 @@
 	return suspension
 }
 
+// untilRead returns the time until this VM has to read the configuration from the store if it
+// learns nothing from others.
+func (p *Proxy) untilRead(now time.Time) time.Duration {
+	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, p.Gossiper.AliveInZone(now))
+	return p.Verifier.UntilRead(now, p.watchRank(names), len(names))
+}
+
 // retryDelayPerVM is the delay that each VM of an availability zone adds between two
 // calls to a store that does not respond, so that a zone as a whole calls about
 // as often as one VM, in addition to the VMs that watch.
--- a/networkfaker/halfconn.go
+++ b/networkfaker/halfconn.go
@@ -33,8 +33,10 @@
 	senderClosed   bool
 	wasReset       bool
 	receiverClosed bool
-	deadline       time.Time
-	wake           chan struct{}
+	// silent reports that nothing is delivered any more, not even the end.
+	silent   bool
+	deadline time.Time
+	wake     chan struct{}
 }
 
 // newHalfConn returns one direction of a connection.
@@ -107,6 +109,9 @@
 		e.partitionChanged = changed
 		return 0, wait, e, nil
 	}
+	if h.silent {
+		return 0, wait, e, nil
+	}
 	if len(h.packets) == 0 {
 		if h.senderClosed {
 			return 0, 0, wakeEvents{}, io.EOF
@@ -172,6 +177,14 @@
 	h.unregister()
 }
 
+// silence stops the delivery of data and of the end.
+func (h *halfConn) silence() {
+	h.mu.Lock()
+	h.silent = true
+	h.notify()
+	h.mu.Unlock()
+}
+
 // unregister removes the direction from the network.
 func (h *halfConn) unregister() {
 	h.network.mu.Lock()
--- a/networkfaker/network.go
+++ b/networkfaker/network.go
@@ -173,15 +173,35 @@
 
 // ResetConnections resets all connections of a host, as the end of its process does.
 func (n *Network) ResetConnections(host string) {
+	for _, h := range n.connsOf(host) {
+		h.reset()
+	}
+}
+
+// SilenceConnections makes all connections of a host go silent for good, as after a middlebox
+// has lost its state. New connections work. It returns a function that resets those that are
+// still open.
+func (n *Network) SilenceConnections(host string) (reset func()) {
+	affected := n.connsOf(host)
+	for _, h := range affected {
+		h.silence()
+	}
+	return func() {
+		for _, h := range affected {
+			h.reset()
+		}
+	}
+}
+
+// connsOf returns the directions of all connections of a host.
+func (n *Network) connsOf(host string) []*halfConn {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	var affected []*halfConn
 	for h := range n.conns {
 		if h.link.from == host || h.link.to == host {
 			affected = append(affected, h)
 		}
 	}
-	n.mu.Unlock()
-	for _, h := range affected {
-		h.reset()
-	}
+	return affected
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -49,9 +49,9 @@
 	// Suspend returns for how long to suspend calls to the store, zero for not at all. Nil
 	// never suspends them. It is called again within maxSuspension.
 	Suspend func(now time.Time) time.Duration
-	// Urgent reports that the objects may be outdated, so that suspended calls resume without
-	// letting other VMs go first. Nil stands for never.
-	Urgent func(now time.Time) bool
+	// MaxDelay returns for how long other VMs may go first when suspended calls resume: until
+	// the objects may be outdated. Nil stands for the maximum backoff.
+	MaxDelay func(now time.Time) time.Duration
 	// ShouldStart reports whether to make the first call. Nil always allows it. KnownElsewhere
 	// reports that the objects are known from another source, so that Suspend may
 	// suspend calls before the first one.
@@ -86,7 +86,7 @@
 		}
 		limit := f.backoffLimit()
 		if f.suspended {
-			if limit > maxBackoff && !f.isUrgent() && !timekeeper.Sleep(ctx, rand.N(limit)) {
+			if limit > maxBackoff && !timekeeper.Sleep(ctx, f.resumeDelay(limit)) {
 				return nil
 			}
 			if f.Suspend(f.Clock.Now()) > 0 {
@@ -126,9 +126,14 @@
 	return f.Suspend(f.Clock.Now())
 }
 
-// isUrgent reports whether the objects may be outdated.
-func (f *Watcher) isUrgent() bool {
-	return f.Urgent != nil && f.Urgent(f.Clock.Now())
+// resumeDelay returns the delay before the first call after a suspension, in which other VMs
+// may go first.
+func (f *Watcher) resumeDelay(limit time.Duration) time.Duration {
+	d := rand.N(limit)
+	if f.MaxDelay == nil {
+		return d
+	}
+	return min(d, f.MaxDelay(f.Clock.Now()))
 }
 
 // backoffLimit returns the current maximum backoff.
