fix: a leaving primary gets no work after its drain time though its announcement is late

Callers' statements could reach a leaving instance after its drain time, which then breaks them off: same class as the late configuration. Cause: the watch of the list of instances waits 4 s (8 s in a large fleet) and notices silence 0.7 s later; from the announcement on, as a VM learns of it, the primary gets work for the drain time less 2 s, so that 2 s of delay is the most it bears; a VM does not replace it for 2.5 s after it has regained the store. Change: the list has a verified age like the configuration, in messages too; a watch waits a third of the drain time, and a VM that relies on others reads the list within 0.7 of it. The leaving period counts from the time as of which the list was last known without the announcement.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -31,7 +31,7 @@
 	newState,
 	func(p Dependencies) *journaler.Journaler { return journaler.New(p.Log, p.Clock) },
 	cataloguer.NewHolder,
-	newVerifier,
+	newVerifiers,
 	measurer.New,
 	newObserver,
 	throttler.New,
@@ -133,9 +133,15 @@
 	return dispatcher.New(dispatcher.Dependencies{Observer: o, Throttler: s, Borrower: b, Remote: e, Shares: h, Dialer: p.Adapter.Dialer(), Clock: p.Clock, Journal: j, Measurer: m})
 }
 
-// newVerifier returns the verifier of this process.
-func newVerifier(p Dependencies) *verifier.Verifier {
-	return verifier.New(p.Clock.Now(), p.Settings.Configuration)
+// verifiers track the age of what this process holds of the store.
+type verifiers struct {
+	configuration, instances *verifier.Verifier
+}
+
+// newVerifiers returns the verifiers of this process.
+func newVerifiers(p Dependencies) *verifiers {
+	now := p.Clock.Now()
+	return &verifiers{configuration: verifier.New(now, p.Settings.Configuration), instances: verifier.New(now, p.Settings.Drain)}
 }
 
 // newSessionServer returns a server without sessions.
--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -18,7 +18,6 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/throttler"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
-	"github.com/marigoldgauge/marigoldgauge/verifier"
 )
 
 // demandScale converts operations per second to the unit of a message.
@@ -29,7 +28,7 @@
 	dig.In
 
 	Catalogue  *cataloguer.Holder
-	Verifier   *verifier.Verifier
+	Verifiers  *verifiers
 	Observer   *observer.Observer
 	Sharer     *throttler.Throttler
 	Dispatcher *dispatcher.Dispatcher
@@ -63,14 +62,15 @@
 // compose returns this VM's message for an audience.
 func (n *gossipHandler) compose(now time.Time, to gossiper.Audience) gossiper.Message {
 	n.divideShares(now)
+	// The versions are read after the times as of which they are verified.
+	verifiedAge, listVerifiedAge := n.Verifiers.configuration.Age(now), n.Verifiers.instances.Age(now)
 	m := gossiper.Message{
 		Name: n.settings.VM.ID, AvailabilityZone: n.settings.VM.AvailabilityZone, Address: n.settings.Listen.Peers, Incarnation: n.State.incarnation,
 		Leaving: n.Sessions.Leaving(), StoreUnreachable: n.State.storeUnreachable.Load(), Demand: map[string]uint32{},
 		ListRevision: n.State.listingChange.Load(), ListFresh: n.State.watchesStore.Load() && !n.State.storeUnreachable.Load(),
 	}
 	m.Capacity = n.settings.VM.CapacityClass()
-	// The version is read after the time as of which it is verified.
-	m.VerifiedAge = max(n.Verifier.Age(now), gossiper.MinVerifiedAge)
+	m.VerifiedAge, m.ListVerifiedAge = max(verifiedAge, gossiper.MinVerifiedAge), max(listVerifiedAge, gossiper.MinVerifiedAge)
 	m.Version, m.SkipsVotes = n.Catalogue.Version(), !n.State.standby.Load()
 	if to == gossiper.ToAll {
 		for organisation, demand := range n.Sharer.SnapshotDemand(now) {
@@ -242,7 +242,8 @@
 func (n *gossipHandler) receive(now time.Time, m gossiper.Message) {
 	n.State.noteVersion(now, m, n.Catalogue.Version())
 	if m.VerifiedAge > 0 && !m.Composed.IsZero() {
-		n.Verifier.Learn(m.Version, m.Composed.Add(-m.VerifiedAge))
+		n.Verifiers.configuration.Learn(m.Version, m.Composed.Add(-m.VerifiedAge))
+		n.Verifiers.instances.Learn(m.ListRevision, m.Composed.Add(-m.ListVerifiedAge))
 	}
 	for _, g := range m.Groups {
 		if g.Primary != "" && n.Observer.LearnPrimary(now, g.Group, g.Primary, g.Term) {
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -36,7 +36,7 @@
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
 	known := func() bool { return p.State.listingChange.Load() > 0 }
-	w := p.newWatcher(p.Parts.Adapter.InstancesPrefix(), p.instancesWatchTimeout, known, func(u versioner.Update) {
+	w := p.newWatcher(p.Parts.Adapter.InstancesPrefix(), p.Verifiers.instances, known, func(u versioner.Update) {
 		p.State.applyMu.Lock()
 		defer p.State.applyMu.Unlock()
 		if news, ok := p.State.listing.Update(u); ok {
@@ -75,6 +75,7 @@
 // it to the other VMs if it matters to them. changedAt is the revision of the change. The
 // caller holds applyMu.
 func (p *Proxy) applyInstances(news versioner.Update, changedAt uint64) {
+	defer p.Verifiers.instances.Install(news.Revision)
 	changed, removed := p.decodeInstances(news)
 	relevant := p.State.instances.Update(p.Parts.Clock.Now(), changed, removed)
 	p.updateInstances()
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -28,7 +28,6 @@
 	"github.com/marigoldgauge/marigoldgauge/sessioner"
 	"github.com/marigoldgauge/marigoldgauge/switcher"
 	"github.com/marigoldgauge/marigoldgauge/throttler"
-	"github.com/marigoldgauge/marigoldgauge/verifier"
 	"github.com/marigoldgauge/marigoldgauge/versioner"
 )
 
@@ -40,7 +39,7 @@
 	Journal    *journaler.Journaler
 	Measurer   *measurer.Measurer
 	Catalogue  *cataloguer.Holder
-	Verifier   *verifier.Verifier
+	Verifiers  *verifiers
 	Observer   *observer.Observer
 	Sharer     *throttler.Throttler
 	Dispatcher *dispatcher.Dispatcher
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -13,17 +13,12 @@
 	"github.com/marigoldgauge/marigoldgauge/limiter"
 	"github.com/marigoldgauge/marigoldgauge/observer"
 	"github.com/marigoldgauge/marigoldgauge/ranker"
+	"github.com/marigoldgauge/marigoldgauge/verifier"
 	"github.com/marigoldgauge/marigoldgauge/versioner"
 	"github.com/marigoldgauge/marigoldgauge/watcher"
 )
 
 const (
-	// defaultWatchTimeout bounds one watch of the list of instances: long, since each call has
-	// a price, and short enough to detect a dead connection. Meanwhile other VMs announce
-	// later lists.
-	defaultWatchTimeout = 4 * time.Second
-	// largeFleetWatchTimeout bounds one such watch in a large fleet, where many VMs watch.
-	largeFleetWatchTimeout = 8 * time.Second
 	// peerStateTimeout is how long a process that has just started waits for the store's
 	// content from other VMs: they respond within a few hundred milliseconds.
 	peerStateTimeout = 1500 * time.Millisecond
@@ -58,9 +53,9 @@
 
 // newWatcher returns a Watcher of a prefix of the store. known reports that its objects are
 // known from another source.
-func (p *Proxy) newWatcher(prefix string, wait func() time.Duration, known func() bool, apply func(u versioner.Update)) watcher.Watcher {
+func (p *Proxy) newWatcher(prefix string, v *verifier.Verifier, known func() bool, apply func(u versioner.Update)) watcher.Watcher {
 	return watcher.Watcher{
-		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: wait, Clock: p.Parts.Clock, Apply: apply, OnStoreCall: p.recordStoreResult,
+		Store: p.Parts.Adapter.Store(), Prefix: prefix, Wait: v.WatchTimeout, Clock: p.Parts.Clock, Apply: apply, OnVerified: v.Verify, OnStoreCall: p.recordStoreResult,
 		MaxBackoff: p.maxRetryDelay, Suspend: p.watchSuspension, MaxDelay: p.untilRead, ShouldStart: p.mayQueryStore, KnownElsewhere: known,
 	}
 }
@@ -93,14 +88,6 @@
 	return min(time.Duration(rank/watchersPerZone)*queryTurnInterval, maxQueryTurn)
 }
 
-// instancesWatchTimeout returns the timeout of one watch of the list of instances.
-func (p *Proxy) instancesWatchTimeout() time.Duration {
-	if p.Gossiper.IsLarge() {
-		return largeFleetWatchTimeout
-	}
-	return defaultWatchTimeout
-}
-
 // recordStoreResult records whether a call to the store succeeded.
 func (p *Proxy) recordStoreResult(now time.Time, err error) {
 	p.State.recordStoreResult(p.Journal, now, err)
@@ -135,14 +122,13 @@
 	key := p.Parts.Adapter.CatalogueKey()
 	prefix := key[:strings.LastIndexByte(key, '/')+1]
 	known := func() bool { return p.Catalogue.Current() != nil }
-	w := p.newWatcher(prefix, p.Verifier.WatchTimeout, known, func(u versioner.Update) {
+	w := p.newWatcher(prefix, p.Verifiers.configuration, known, func(u versioner.Update) {
 		for _, o := range u.Objects {
 			if o.Key == key {
 				p.applyCatalogue(o.Value, "store")
 			}
 		}
 	})
-	w.OnVerified = p.Verifier.Verify
 	return w.Run(ctx)
 }
 
@@ -160,7 +146,7 @@
 	if !p.Catalogue.Install(p.Parts.Clock.Now(), c) {
 		return
 	}
-	p.Verifier.Install(c.Version)
+	p.Verifiers.configuration.Install(c.Version)
 	p.configureComponents(before, c)
 	p.State.bodies.add(raw)
 	p.announceChange()
@@ -200,8 +186,8 @@
 )
 
 // watchSuspension returns for how long this VM does not watch the store because enough others
-// of its availability zone do, which announce changes to it: until its configuration may be
-// outdated. It is zero for a VM that watches.
+// of its availability zone do, which announce changes to it: until what it has may be outdated.
+// It is zero for a VM that watches.
 func (p *Proxy) watchSuspension(now time.Time) time.Duration {
 	near := p.Gossiper.AliveInZone(now)
 	fresh := 0
@@ -218,16 +204,17 @@
 	skip := suspension > 0
 	if p.State.watchesStore.Swap(!skip) == skip {
 		p.Journal.LogStateChange("store-watch", journaler.F("watches", !skip), journaler.F("rank", rank), journaler.F("fresh", fresh),
-			journaler.F("unanswered", p.State.storeSilence(now)), journaler.F("verified", p.Verifier.Age(now)))
+			journaler.F("unanswered", p.State.storeSilence(now)), journaler.F("verified", p.Verifiers.configuration.Age(now)))
 	}
 	return suspension
 }
 
-// untilRead returns the time until this VM has to read the configuration from the store if it
-// learns nothing from others.
+// untilRead returns the time until this VM has to read the store if it learns nothing from
+// others.
 func (p *Proxy) untilRead(now time.Time) time.Duration {
 	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, p.Gossiper.AliveInZone(now))
-	return p.Verifier.UntilRead(now, p.watchRank(names), len(names))
+	rank := p.watchRank(names)
+	return min(p.Verifiers.configuration.UntilRead(now, rank, len(names)), p.Verifiers.instances.UntilRead(now, rank, len(names)))
 }
 
 // retryDelayPerVM is the delay that each VM of an availability zone adds between two
@@ -256,6 +243,7 @@
 func (p *Proxy) updateInstances() {
 	now := p.Parts.Clock.Now()
 	updated, dropped := p.State.instances.Changes(now)
+	p.Observer.SetListAge(p.Verifiers.instances.AsOf())
 	added, removed, changed := p.Observer.UpdateInstances(now, updated, dropped)
 	p.Dispatcher.SetInstances(added, removed)
 	if len(added) > maxInstanceLines {
--- a/gossiper/compact_message.go
+++ b/gossiper/compact_message.go
@@ -12,21 +12,32 @@
 	Version  uint64            `cbor:"2,keyasint,omitempty"`
 	Groups   []compactStatus   `cbor:"3,keyasint,omitempty"`
 	Demand   map[string]uint32 `cbor:"4,keyasint,omitempty"`
-	// VerifiedAge is in units of verifiedAgeUnit, rounded up.
-	VerifiedAge uint64 `cbor:"5,keyasint,omitempty"`
+	// VerifiedAge and ListVerifiedAge are in units of verifiedAgeUnit, rounded up.
+	VerifiedAge     uint64 `cbor:"5,keyasint,omitempty"`
+	ListVerifiedAge uint64 `cbor:"6,keyasint,omitempty"`
 }
 
-// verifiedAgeUnit is the resolution of VerifiedAge in a compact message, and maxVerifiedAge
+// verifiedAgeUnit is the resolution of verified ages in a compact message, and maxVerifiedAge
 // the greatest one in a message that is decoded: it keeps the conversion from overflowing.
 const (
 	verifiedAgeUnit = 100 * time.Millisecond
 	maxVerifiedAge  = uint64(time.Hour / verifiedAgeUnit)
 )
 
+// compactAge returns a verified age in units of verifiedAgeUnit, rounded up.
+func compactAge(d time.Duration) uint64 {
+	return uint64((max(d, 0) + verifiedAgeUnit - 1) / verifiedAgeUnit)
+}
+
+// verifiedAge returns the verified age that compactAge has encoded.
+func verifiedAge(units uint64) time.Duration {
+	return time.Duration(min(units, maxVerifiedAge)) * verifiedAgeUnit
+}
+
 // compact returns the fields of the message that are not in its profile.
 func (m *Message) compact() compactMessage {
 	c := compactMessage{
-		Sequence: m.Sequence, Version: m.Version, Demand: m.Demand, VerifiedAge: uint64((max(m.VerifiedAge, 0) + verifiedAgeUnit - 1) / verifiedAgeUnit),
+		Sequence: m.Sequence, Version: m.Version, Demand: m.Demand, VerifiedAge: compactAge(m.VerifiedAge), ListVerifiedAge: compactAge(m.ListVerifiedAge),
 	}
 	for _, s := range m.Groups {
 		c.Groups = append(c.Groups, s.compact())
@@ -38,7 +49,7 @@
 func (c *compactMessage) message(p *profile) Message {
 	m := p.message()
 	m.Sequence, m.Version, m.Demand = c.Sequence, c.Version, c.Demand
-	m.VerifiedAge = time.Duration(min(c.VerifiedAge, maxVerifiedAge)) * verifiedAgeUnit
+	m.VerifiedAge, m.ListVerifiedAge = verifiedAge(c.VerifiedAge), verifiedAge(c.ListVerifiedAge)
 	for _, s := range c.Groups {
 		m.Groups = append(m.Groups, s.status())
 	}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -59,9 +59,11 @@
 	// Capacity is the capacity class of the VM. VMs of the highest class are relays.
 	Capacity uint8 `cbor:"14,keyasint,omitempty"`
 
-	// VerifiedAge is the time since the store had no later version than Version for certain.
-	// Zero if unknown.
-	VerifiedAge time.Duration `cbor:"15,keyasint,omitempty"`
+	// VerifiedAge is the time since the store had no later version than Version for certain, and
+	// ListVerifiedAge since the list of instances had no later relevant change than
+	// ListRevision. Zero if unknown.
+	VerifiedAge     time.Duration `cbor:"15,keyasint,omitempty"`
+	ListVerifiedAge time.Duration `cbor:"16,keyasint,omitempty"`
 
 	// Votes are the states of the groups that count as votes of this VM. Nil stands for
 	// those in Groups.
@@ -75,7 +77,7 @@
 	FullState bool `cbor:"-"`
 }
 
-// MinVerifiedAge is the least VerifiedAge of a message.
+// MinVerifiedAge is the least VerifiedAge and ListVerifiedAge of a message.
 const MinVerifiedAge = time.Millisecond
 
 // setComposed sets the time at which the message was composed, if known.
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -27,6 +27,9 @@
 
 	mu     sync.Mutex
 	groups map[string]*groupState
+	// listAsOf is the time as of which the list was the platform's before the next update; zero
+	// stands for the time of the update.
+	listAsOf time.Time
 	// groupOf holds the group of each instance, by id.
 	groupOf map[string]string
 	// names caches the names of the groups that have instances; nil after a change.
@@ -48,10 +51,17 @@
 }
 
 // leavingMargin is the part at the end of the leaving period in which an instance
-// gets no new statements. It covers the delay of the announcement to this VM and of a
-// statement to the instance.
+// gets no new statements. It covers the delay of a statement to the instance.
 const leavingMargin = 2 * time.Second
 
+// SetListAge records the time as of which the list was the platform's before the next update: an
+// instance that is leaving then may have announced it since that time.
+func (o *Observer) SetListAge(asOf time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listAsOf = asOf
+}
+
 // UpdateInstances applies changes of the platform's list as of now: the instances that were
 // added or changed, and the ids of those that were removed. It returns the instances that
 // are new to the Observer, those that left, and those whose role or leaving state changed.
@@ -59,6 +69,10 @@
 func (o *Observer) UpdateInstances(now time.Time, update []Instance, removals []string) (added, removed, changed []Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	before := now
+	if !o.listAsOf.IsZero() && o.listAsOf.Before(now) {
+		before = o.listAsOf
+	}
 	for _, i := range update {
 		if group, ok := o.groupOf[i.ID]; ok && group != i.Group {
 			removed = append(removed, o.removeInstance(group, i.ID)...)
@@ -82,7 +96,7 @@
 			changed = append(changed, i)
 		}
 		s.Instance = i
-		s.updateLeavingSince(now)
+		s.updateLeavingSince(before)
 		o.notify(g)
 	}
 	for _, id := range removals {
--- a/observer/state.go
+++ b/observer/state.go
@@ -46,13 +46,14 @@
 	positionAt time.Time
 }
 
-// updateLeavingSince records since when the instance is known to be leaving.
-func (s *instanceState) updateLeavingSince(now time.Time) {
+// updateLeavingSince records since when the instance may be leaving: it was not yet at the time
+// before.
+func (s *instanceState) updateLeavingSince(before time.Time) {
 	switch {
 	case !s.Leaving:
 		s.leavingSince = time.Time{}
 	case s.leavingSince.IsZero():
-		s.leavingSince = now
+		s.leavingSince = before
 	}
 }
 
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -1,6 +1,6 @@
-// Package verifier tracks the time as of which the configuration in force is known to be the
-// latest one in the platform's store, and decides when a VM that leaves the store to other VMs
-// has to read the configuration itself.
+// Package verifier tracks the time as of which what a VM holds of the platform's store is known
+// to be the latest version there, and decides when a VM that leaves the store to other VMs has
+// to read it itself.
 //
 // Other VMs may stop reading the store without noticing, or without being able to say so. What
 // they have verified therefore ages, and is not trusted until they report a failure.
@@ -11,19 +11,19 @@
 	"time"
 )
 
-// The parts of the bound on the time until a configuration is in force.
+// The parts of the bound on the time until a change is in force.
 const (
 	// watchFraction is how long a VM that watches the store waits for one response.
 	watchFraction = 1.0 / 3
-	// staleFraction is the age from which the configuration is not relied upon. It exceeds
-	// that of watches by the time that the messages of other VMs take.
+	// staleFraction is the age from which other VMs are not relied upon. It exceeds that of
+	// watches by the time that the messages of other VMs take.
 	staleFraction = 0.6
 	// spreadFraction is the time over which the VMs of an availability zone then read the
 	// store, one after the other. What is left is for the reading.
 	spreadFraction = 0.1
 )
 
-// Verifier tracks the age of the configuration. It is safe for concurrent use.
+// Verifier tracks the age of the configuration or of another part of the store. It is safe for concurrent use.
 type Verifier struct {
 	bound time.Duration
 
@@ -41,13 +41,13 @@
 	asOf    time.Time
 }
 
-// New returns the Verifier of a process that starts now, for a bound on the time from the
-// change of the configuration until it is in force.
+// New returns the Verifier of a process that starts now, for a bound on the time from a change
+// in the store until it is in force.
 func New(now time.Time, bound time.Duration) *Verifier {
 	return &Verifier{bound: bound, asOf: now}
 }
 
-// WatchTimeout returns the timeout of one watch call for the configuration.
+// WatchTimeout returns the timeout of one watch call.
 func (v *Verifier) WatchTimeout() time.Duration { return part(v.bound, watchFraction) }
 
 // Install records the version that is in force from now on.
@@ -60,8 +60,8 @@
 	}
 }
 
-// Verify records that this VM has read the store's configuration as of a time, and has put
-// it in force if it was later.
+// Verify records that this VM has read the store's version as of a time, and has put it in force
+// if it was later.
 func (v *Verifier) Verify(asOf time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -89,13 +89,16 @@
 	}
 }
 
-// Age returns the time since the configuration in force was the latest one for certain.
-func (v *Verifier) Age(now time.Time) time.Duration {
+// AsOf returns the time as of which the version in force was the latest one for certain.
+func (v *Verifier) AsOf() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return max(now.Sub(v.asOf), 0)
+	return v.asOf
 }
 
+// Age returns the time since then.
+func (v *Verifier) Age(now time.Time) time.Duration { return max(now.Sub(v.AsOf()), 0) }
+
 // UntilRead returns the time until a VM that leaves the store to others has to read it, if it
 // learns nothing until then. rank is its position among the VMs of its availability zone,
 // from 0; the zone's VMs read one after the other, so that the first ones can tell the others.
