fix: a failed call closes the other idle connections, which may be silent too

Callers may see an old configuration for 1.5 s longer for each such connection. Cause: a middlebox that loses its state silences all open connections at once. The call that hangs closes its own only; the next one takes another idle one, of which up to four are kept, and hangs as well. Class of the late configuration: waiting on one silent party after the other.

--- a/assembler/catch_up.go
+++ b/assembler/catch_up.go
@@ -142,6 +142,8 @@
 	req.Header.Set("Accept-Encoding", "gzip, "+differencesEncoding)
 	resp, err := p.State.peerClient.Do(req)
 	if err != nil {
+		// The idle connections may be silent too.
+		p.State.peerClient.CloseIdleConnections()
 		return nil, eris.Wrap(err, "sending the request to another VM")
 	}
 	defer func() { _ = resp.Body.Close() }()
