--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -75,7 +75,7 @@
 // it to the other VMs if it matters to them. changedAt is the revision of the change. The
 // caller holds applyMu.
 func (p *Proxy) applyInstances(news versioner.Update, changedAt uint64) {
-	defer p.Verifiers.instances.Install(news.Revision)
+	defer p.Verifiers.instances.Install(p.State.listing.Revision())
 	changed, removed := p.decodeInstances(news)
 	relevant := p.State.instances.Update(p.Parts.Clock.Now(), changed, removed)
 	p.updateInstances()
