--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -2,8 +2,9 @@
 // to be the latest version there, and decides when a VM that leaves the store to other VMs has
 // to read it itself.
 //
-// Other VMs may stop reading the store without noticing, or without being able to say so. What
-// they have verified therefore ages, and is not trusted until they report a failure.
+// Other VMs may stop reading the store without noticing, or without being able to say so.
+// Therefore what they have verified is relied upon up to an age, whether or not they report a
+// failure.
 package verifier
 
 import (
@@ -23,7 +24,8 @@
 	spreadFraction = 0.1
 )
 
-// Verifier tracks the age of the configuration or of another part of the store. It is safe for concurrent use.
+// Verifier tracks the age of the configuration or of another part of the store. It is safe for
+// concurrent use.
 type Verifier struct {
 	bound time.Duration
 
@@ -81,7 +83,7 @@
 	}
 }
 
-// verify advances the time as of which the configuration is verified. The caller must hold
+// verify advances the time as of which the version in force is verified. The caller must hold
 // v.mu.
 func (v *Verifier) verify(asOf time.Time) {
 	if asOf.After(v.asOf) {
