--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -138,6 +138,12 @@
 	configuration, instances *verifier.Verifier
 }
 
+// untilRead returns the time until a VM with a rank among those of its availability zone has to
+// read the store, for the configuration or the list of instances.
+func (v *verifiers) untilRead(now time.Time, rank, vms int) time.Duration {
+	return min(v.configuration.UntilRead(now, rank, vms), v.instances.UntilRead(now, rank, vms))
+}
+
 // newVerifiers returns the verifiers of this process.
 func newVerifiers(p Dependencies) *verifiers {
 	now := p.Clock.Now()
--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -196,8 +196,9 @@
 			fresh++
 		}
 	}
-	rank := p.watchRank(gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near))
-	suspension := p.untilRead(now)
+	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near)
+	rank := p.watchRank(names)
+	suspension := p.Verifiers.untilRead(now, rank, len(names))
 	if rank < watchersPerZone || fresh < watchersPerZone || p.State.storeUnreachable.Load() {
 		suspension = 0
 	}
@@ -213,8 +214,7 @@
 // others.
 func (p *Proxy) untilRead(now time.Time) time.Duration {
 	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, p.Gossiper.AliveInZone(now))
-	rank := p.watchRank(names)
-	return min(p.Verifiers.configuration.UntilRead(now, rank, len(names)), p.Verifiers.instances.UntilRead(now, rank, len(names)))
+	return p.Verifiers.untilRead(now, p.watchRank(names), len(names))
 }
 
 // retryDelayPerVM is the delay that each VM of an availability zone adds between two
@@ -243,7 +243,7 @@
 func (p *Proxy) updateInstances() {
 	now := p.Parts.Clock.Now()
 	updated, dropped := p.State.instances.Changes(now)
-	p.Observer.SetListAge(p.Verifiers.instances.AsOf())
+	p.Observer.SetListAsOf(p.Verifiers.instances.AsOf())
 	added, removed, changed := p.Observer.UpdateInstances(now, updated, dropped)
 	p.Dispatcher.SetInstances(added, removed)
 	if len(added) > maxInstanceLines {
--- a/observer/leaving_test.go
+++ b/observer/leaving_test.go
@@ -67,7 +67,7 @@
 			o.ObserveStatus(start, start, a, modeller.InstanceStatus{IsPrimary: true, Term: 1})
 			announced := start.Add(tt.age)
 			a.Leaving = true
-			o.SetListAge(start)
+			o.SetListAsOf(start)
 			o.UpdateInstances(announced, []observer.Instance{a}, nil)
 			_, ok := o.Choose(announced.Add(tt.after), observer.Requirements{Group: "g", NeedsPrimary: true})
 			g.Expect(ok).To(Equal(tt.want))
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -54,9 +54,9 @@
 // gets no new statements. It covers the delay of a statement to the instance.
 const leavingMargin = 2 * time.Second
 
-// SetListAge records the time as of which the list was the platform's before the next update: an
+// SetListAsOf records the time as of which the list was the platform's before the next update: an
 // instance that is leaving then may have announced it since that time.
-func (o *Observer) SetListAge(asOf time.Time) {
+func (o *Observer) SetListAsOf(asOf time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.listAsOf = asOf
