--- a/observer/observer.go
+++ b/observer/observer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/modeller"
+	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // ZoneLatency returns the latency to assume for instances in an availability zone before
@@ -70,8 +71,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	before := now
-	if !o.listAsOf.IsZero() && o.listAsOf.Before(now) {
-		before = o.listAsOf
+	if !o.listAsOf.IsZero() {
+		before = timekeeper.Earlier(now, o.listAsOf)
 	}
 	for _, i := range update {
 		if group, ok := o.groupOf[i.ID]; ok && group != i.Group {
--- a/switcher/pace.go
+++ b/switcher/pace.go
@@ -45,13 +45,13 @@
 	after := func(count int, margin time.Duration) {
 		if n := len(requests) - count; n >= 0 {
 			span := time.Duration(math.Ceil(float64(count) / rate * float64(time.Second)))
-			next = latest(next, requests[n].Add(span+margin))
+			next = timekeeper.Later(next, requests[n].Add(span+margin))
 		}
 	}
 	after(requestsPerWindow(rate), arrivalMargin)
 	after(min(promotionBurst, requestsPerWindow(rate)), 0)
 	if n := len(requests); n > 0 {
-		next = latest(next, requests[n-1])
+		next = timekeeper.Later(next, requests[n-1])
 	}
 	return next
 }
@@ -60,14 +60,6 @@
 // second, or one request where the rate is lower.
 func requestsPerWindow(rate float64) int { return int(max(1, min(rate, math.MaxInt32))) }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // MaxConcurrent returns how many replacements may run at a time so that promotions, each of
 // which ends a replacement of a mean duration, are requested at the rate per second. More
 // would only wait with their groups stopped.
@@ -90,7 +82,7 @@
 
 // reserve returns the time at which the next request may be sent.
 func (p *promotionPace) reserve(now time.Time, rate float64) time.Time {
-	at := NextPromotion(latest(now, p.notBefore), p.requests, rate)
+	at := NextPromotion(timekeeper.Later(now, p.notBefore), p.requests, rate)
 	if keep := requestsPerWindow(rate); len(p.requests) >= keep {
 		p.requests = append(p.requests[:0], p.requests[len(p.requests)-keep+1:]...)
 	}
--- a/switcher/replacements.go
+++ b/switcher/replacements.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/journaler"
+	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // mayReplace reports whether a replacement of the primary of a group may start: none has
@@ -58,7 +59,7 @@
 	promoting := s.promoting
 	s.mu.Unlock()
 	record := s.Announcer.Record()
-	if promoting == 0 || record.Holder != s.Name || now.Sub(latest(s.lastTurnAt, s.renewedAt)) < renewInterval {
+	if promoting == 0 || record.Holder != s.Name || now.Sub(timekeeper.Later(s.lastTurnAt, s.renewedAt)) < renewInterval {
 		return
 	}
 	s.renewedAt = now
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -17,6 +17,7 @@
 
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/observer"
+	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 const (
@@ -154,7 +155,7 @@
 		}
 		view := s.view(now, p, rank, votes)
 		if decision := DecideReplacement(now, view); decision != Keep {
-			out = append(out, Candidate{Group: p.Group, Decision: decision, Reports: view.LostVotes, Failures: s.failureCount(p.Group), Since: latest(p.UnservedSince, view.LeaderlessSince)})
+			out = append(out, Candidate{Group: p.Group, Decision: decision, Reports: view.LostVotes, Failures: s.failureCount(p.Group), Since: timekeeper.Later(p.UnservedSince, view.LeaderlessSince)})
 		}
 	}
 	return out
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -10,6 +10,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // The parts of the bound on the time until a change is in force.
@@ -86,9 +88,7 @@
 // verify advances the time as of which the version in force is verified. The caller must hold
 // v.mu.
 func (v *Verifier) verify(asOf time.Time) {
-	if asOf.After(v.asOf) {
-		v.asOf = asOf
-	}
+	v.asOf = timekeeper.Later(asOf, v.asOf)
 }
 
 // AsOf returns the time as of which the version in force was the latest one for certain.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -170,7 +170,7 @@
 	}
 	f.Apply(f.update(page))
 	// A response that has been on its way for long is not taken for a later one.
-	f.recordVerified(earlier(f.Clock.Now(), startedAt.Add(wait)))
+	f.recordVerified(timekeeper.Earlier(f.Clock.Now(), startedAt.Add(wait)))
 	if len(page.Objects) > 0 {
 		// Changes often come in bursts, so that the next call returns several at once.
 		timekeeper.Sleep(ctx, batchDelay)
@@ -185,14 +185,6 @@
 	}
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // update returns the update that a page stands for: the last state of each object in it.
 func (f *Watcher) update(page keeper.Page) versioner.Update {
 	f.revision = max(f.revision, page.Revision)
