refactor: one function for a VM's rank and turn to read the store

Cause: the suspension of a watch and the delay of its resumption worked out the same names, rank and time, each by itself.

Change: storeTurn returns both.

--- a/assembler/store_watch.go
+++ b/assembler/store_watch.go
@@ -196,9 +196,7 @@
 			fresh++
 		}
 	}
-	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near)
-	rank := p.watchRank(names)
-	suspension := p.Verifiers.untilRead(now, rank, len(names))
+	rank, suspension := p.storeTurn(now, near)
 	if rank < watchersPerZone || fresh < watchersPerZone || p.State.storeUnreachable.Load() {
 		suspension = 0
 	}
@@ -213,8 +211,17 @@
 // untilRead returns the time until this VM has to read the store if it learns nothing from
 // others.
 func (p *Proxy) untilRead(now time.Time) time.Duration {
-	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, p.Gossiper.AliveInZone(now))
-	return p.Verifiers.untilRead(now, p.watchRank(names), len(names))
+	_, d := p.storeTurn(now, p.Gossiper.AliveInZone(now))
+	return d
+}
+
+// storeTurn returns the rank of this VM for watching the store among those of its availability
+// zone, near, that reach it, and the time until it has to read the store if it learns nothing from
+// others.
+func (p *Proxy) storeTurn(now time.Time, near []gossiper.Peer) (rank int, untilRead time.Duration) {
+	names := gossiper.StoreReachableNames(p.Parts.Settings.VM.ID, near)
+	rank = p.watchRank(names)
+	return rank, p.Verifiers.untilRead(now, rank, len(names))
 }
 
 // retryDelayPerVM is the delay that each VM of an availability zone adds between two
