review: case 4, a line feed in a statement ends it

Change: review/4 is a script: clients write notes with a line feed in them. The stand-ins of the former review are kept as far as this case and the next one use them, and end a line at CR LF only.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -15,24 +15,8 @@
 	startupTimeout = 2 * time.Second
 	// deadline is the deadline of an operation.
 	deadline = 6 * time.Second
-	// statementPause is the pause between two statements of a transaction, and
-	// transactionLength the number of its reads.
-	statementPause    = 300 * time.Millisecond
-	transactionLength = 12
 )
 
-// request is a statement of a client that an instance has to run.
-type request struct {
-	id         string
-	vm         *vm
-	sent, done time.Time
-	// answer is the code of the answer, "done" for a success or "cut" if the connection ended
-	// without a whole answer.
-	answer string
-	// began and ended are the times at which an instance began and ended to run it.
-	began, ended time.Time
-}
-
 // clientSession is a session of a client.
 type clientSession struct {
 	conn   net.Conn
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -39,11 +39,62 @@
 	name   string
 	work   time.Duration
 	record *record
-	// onRun, if set, receives each statement of a client that begins and ends to run.
-	onRun func(id string, ended bool)
+	// synchronous reports that a commit waits for a replica (SyncReplicas 1).
+	synchronous bool
+	// onCommit, if set, receives each commit of a client. The lock is held.
+	onCommit func(c committed)
+	// onRun, if set, receives each statement of a client that an instance runs.
+	onRun func(instance, id, text string)
 
 	mu        sync.Mutex
 	instances []*instance
+	// promotedAt is when the last promotion took effect.
+	promotedAt time.Time
+	// partitioned holds the machines that the instance cut does not reach, nor they it, until
+	// healed is closed.
+	partitioned map[netip.Addr]bool
+	cut         *instance
+	healed      chan struct{}
+}
+
+// committed is a commit of a client.
+type committed struct {
+	instance *instance
+	id       string
+	// arrived is when the statement reached the instance.
+	arrived time.Time
+	from    netip.Addr
+}
+
+// partition cuts an instance from machines until heal is called.
+func (d *database) partition(i *instance, machines ...netip.Addr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut, d.partitioned, d.healed = i, map[netip.Addr]bool{}, make(chan struct{})
+	for _, m := range machines {
+		d.partitioned[m] = true
+	}
+	d.record.add("instance %s: partitioned from %v", i.id, machines)
+}
+
+// heal ends the partition.
+func (d *database) heal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.healed)
+	d.cut = nil
+	d.record.add("partition: healed")
+}
+
+// awaitPath waits while the instance is partitioned from a machine. What is sent meanwhile is held.
+func (i *instance) awaitPath(from netip.Addr) {
+	d := i.database
+	d.mu.Lock()
+	blocked, healed := d.cut == i && d.partitioned[from], d.healed
+	d.mu.Unlock()
+	if blocked {
+		<-healed
+	}
 }
 
 // instance is one instance of a database.
@@ -100,14 +151,6 @@
 	return best
 }
 
-// setLeaving makes an instance announce that it is about to stop.
-func (d *database) setLeaving(i *instance) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	i.leaving = true
-	d.record.add("instance %s: draining", i.id)
-}
-
 // promote makes an instance the primary of the next term, after promoteTime.
 func (d *database) promote(i *instance) {
 	time.Sleep(promoteTime)
@@ -121,6 +164,7 @@
 	}
 	i.term++
 	i.primary, i.paused = true, 0
+	d.promotedAt = time.Now()
 	for _, o := range d.instances {
 		if o == i {
 			continue
@@ -158,7 +202,7 @@
 			received = true
 		}
 	}
-	return received
+	return received || !i.database.synchronous
 }
 
 // applied returns the commits that the instance has applied. The caller holds the lock.
@@ -197,20 +241,26 @@
 type session struct {
 	*instance
 	conn     net.Conn
+	from     netip.Addr
 	state    string
 	plain    bool
 	prepared map[string]string
 	writes   [][2]string
+	// request is the id of the present statement, which arrived at the time arrived.
+	request string
+	arrived time.Time
 }
 
 // serveConn serves one connection.
 func (i *instance) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReaderSize(c, 1<<20)
-	line, err := r.ReadString('\n')
+	line, err := readLine(r)
 	if err != nil {
 		return
 	}
+	from := c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	i.awaitPath(from)
 	f := strings.Fields(line)
 	d := i.database
 	d.mu.Lock()
@@ -236,14 +286,17 @@
 	if _, err := fmt.Fprintf(c, "READY I %s\r\n", at); err != nil {
 		return
 	}
-	s := &session{instance: i, conn: c, state: "I", prepared: map[string]string{}}
+	s := &session{instance: i, conn: c, from: from, state: "I", prepared: map[string]string{}}
 	for {
-		line, err := r.ReadString('\n')
+		line, err := readLine(r)
 		if err != nil || !strings.HasPrefix(line, "QUERY ") {
 			return
 		}
-		id, text, _ := strings.Cut(strings.TrimRight(line[len("QUERY "):], "\r\n"), " ")
+		i.awaitPath(from)
+		id, text, _ := strings.Cut(line[len("QUERY "):], " ")
+		s.arrived, s.request = time.Now(), id
 		answer := s.run(id, text)
+		i.awaitPath(from)
 		if answer == "" {
 			return
 		}
@@ -253,6 +306,19 @@
 	}
 }
 
+// readLine reads a line, which ends at CR LF, and returns it without these.
+func readLine(r *bufio.Reader) (string, error) {
+	line := ""
+	for !strings.HasSuffix(line, "\r\n") {
+		part, err := r.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		line += part
+	}
+	return strings.TrimSuffix(line, "\r\n"), nil
+}
+
 // run runs one statement and returns its answer; an empty one ends the connection.
 func (s *session) run(id, text string) string {
 	if rest, ok := strings.CutPrefix(text, "WAITLSN "); ok {
@@ -262,7 +328,8 @@
 			return s.fail("LAGGING")
 		}
 	}
-	f := strings.Fields(text)
+	// Data may hold blanks: it is the last field.
+	f := strings.SplitN(text, " ", 3)
 	if f[0] == "EXECUTE" {
 		shape, ok := s.prepared[f[1]]
 		if !ok {
@@ -275,15 +342,11 @@
 	}
 	s.slots <- struct{}{}
 	if id != "-" && s.database.onRun != nil {
-		s.database.onRun(id, false)
+		s.database.onRun(s.id, id, text)
 	}
 	time.Sleep(s.database.work)
 	<-s.slots
-	answer := s.execute(f)
-	if id != "-" && s.database.onRun != nil {
-		s.database.onRun(id, true)
-	}
-	return answer
+	return s.execute(f)
 }
 
 // hasApplied reports whether the log holds a position.
@@ -382,6 +445,7 @@
 		s.writes = append(s.writes, [2]string{f[1], f[2]})
 	case f[0] == "PUT":
 		ok = s.commit(f[1], f[2])
+		s.noteCommit()
 	case f[0] == "COMMIT":
 		for _, w := range s.writes {
 			ok = s.commit(w[0], w[1]) && ok
@@ -395,6 +459,13 @@
 	return row + s.complete(signature)
 }
 
+// noteCommit reports a commit. The caller holds the lock of the database.
+func (s *session) noteCommit() {
+	if s.database.onCommit != nil {
+		s.database.onCommit(committed{instance: s.instance, id: s.request, arrived: s.arrived, from: s.from})
+	}
+}
+
 // complete returns a successful answer.
 func (s *session) complete(signature string) string {
 	return "COMPLETE " + signature + "\r\n" + s.ready()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 type playCase func(r *record, dir string, trouble bool) error
 
 // cases holds the cases by name.
-var cases = map[string]playCase{"drill": playDrill, "drain": playDrain}
+var cases = map[string]playCase{"lead": playLead, "notes": playNotes}
 
 func main() {
 	name := flag.String("case", "", "case to play")
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -186,13 +186,6 @@
 	w.WriteHeader(http.StatusConflict)
 }
 
-// received returns the promotion requests so far.
-func (p *platform) received() []promotion {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return append([]promotion(nil), p.promotions...)
-}
-
 // configure writes a configuration with one tenant.
 func (p *platform) configure(version int, key string, routes []route) {
 	var r, s []map[string]any
@@ -203,7 +196,11 @@
 		})
 	}
 	for _, d := range p.databases {
-		s = append(s, map[string]any{"Name": d.name, "MaxConnections": maxConnections, "SyncReplicas": 1})
+		service := map[string]any{"Name": d.name, "MaxConnections": maxConnections}
+		if d.synchronous {
+			service["SyncReplicas"] = 1
+		}
+		s = append(s, service)
 	}
 	p.store.Put("config", "main", map[string]any{
 		"Version": version, "Routes": r, "Services": s, "Limits": map[string]any{"TxIdleMs": 3000},
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -47,22 +47,10 @@
 	events   []storeEvent
 }
 
-// clone returns a copy of the state.
-func (s storeState) clone() storeState {
-	out := storeState{revision: s.revision, objects: map[string]map[string]storedObject{}, events: slices.Clone(s.events)}
-	for kind, objects := range s.objects {
-		out.objects[kind] = maps.Clone(objects)
-	}
-	return out
-}
-
 // store stands in for the platform's metadata store.
 type store struct {
 	mu      sync.Mutex
 	state   storeState
-	copied  storeState
-	era     uint64
-	away    bool
 	changed chan struct{}
 	second  int64
 	reads   int
@@ -74,7 +62,7 @@
 
 // newStore returns an empty store.
 func newStore(r *record) *store {
-	return &store{state: storeState{revision: 10, objects: map[string]map[string]storedObject{}}, era: 1, changed: make(chan struct{}), record: r}
+	return &store{state: storeState{revision: 10, objects: map[string]map[string]storedObject{}}, changed: make(chan struct{}), record: r}
 }
 
 // wake wakes the waiting watches. The caller holds the lock.
@@ -114,52 +102,13 @@
 	s.put(kind, name, raw)
 }
 
-// Copy takes the copy from which the store comes back in a drill.
-func (s *store) Copy() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.copied = s.state.clone()
-	s.record.add("store: copy taken at revision %d", s.state.revision)
-}
-
-// SetAway makes the store answer 503 to every call, or ends that.
-func (s *store) SetAway(away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = away
-	s.wake()
-	s.record.add("store: away=%t", away)
-}
-
-// Restore replaces the content by the copy. What the operator and the instances wrote is
-// written again; what the system wrote since the copy is gone.
-func (s *store) Restore() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	lost := s.state
-	s.state = s.copied.clone()
-	s.era++
-	for _, kind := range []string{"config", "servers"} {
-		for _, name := range slices.Sorted(maps.Keys(lost.objects[kind])) {
-			s.put(kind, name, lost.objects[kind][name].Spec)
-		}
-	}
-	s.wake()
-	s.record.add("store: back from the copy in era %d at revision %d, before %d", s.era, s.state.revision, lost.revision)
-}
-
 // ServeHTTP serves the calls of the system.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
 	s.mu.Lock()
-	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
-	away, limited := s.away, s.overRate(r.Method == http.MethodGet)
+	limited := s.overRate(r.Method == http.MethodGet)
 	s.mu.Unlock()
-	switch {
-	case away:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case limited:
+	if limited {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
@@ -257,11 +206,6 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if s.away {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		if after > s.state.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -17,8 +17,6 @@
 	frontendPort = 8465
 	readyPort    = 8460
 	internalPort = 7560
-	// graceTime is the time from SIGTERM to SIGKILL.
-	graceTime = 6 * time.Second
 )
 
 // vm is a machine on which the program of the deploy file runs.
@@ -30,8 +28,6 @@
 	dir      string
 	command  *exec.Cmd
 	ended    chan struct{}
-	// stoppedAt holds the times of planned stops under load.
-	stoppedAt []time.Time
 }
 
 // newVM returns a machine whose process is not started.
@@ -113,19 +109,6 @@
 	return nil
 }
 
-// terminate sends SIGTERM and, after the grace period, SIGKILL, as the platform does. It
-// returns when the process has ended.
-func (v *vm) terminate() {
-	v.platform.record.add("vm %s: SIGTERM", v.name)
-	_ = v.command.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-v.ended:
-	case <-time.After(graceTime):
-		v.platform.record.add("vm %s: SIGKILL", v.name)
-		v.kill()
-	}
-}
-
 // kill ends the process.
 func (v *vm) kill() {
 	if v.command == nil {
