--- a/review/further/superseded-primary/run.sh
+++ b/review/further/superseded-primary/run.sh
@@ -3,6 +3,6 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../.." || exit 2
+cd "$here/../../.." || exit 2
 [ -x target/review-standin ] && [ -x target/marigoldgauge-platform ] || { echo "build first: the deploy file's build and review/build.sh" >&2; exit 2; }
 exec target/review-standin -case lead -record "$here/record.txt"
