feat: the log tells under which name a statement was prepared at an instance

Cause: nothing in the logs could tell the hypotheses about the changed statements apart: the name at the instance was in no line, and a statement that succeeds has none.

Change: a line 'prepared' the first time that a connection prepares a statement, with the request, the instance, the name, the length of the text, and whether it was accepted.

--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -58,16 +58,16 @@
 }
 
 // Prepare prepares a statement at the instance under a name, unless the connection
-// has done so already.
-func (c *PooledConn) Prepare(ctx context.Context, name string, writes bool, shape string) error {
+// has done so already, which sent reports.
+func (c *PooledConn) Prepare(ctx context.Context, name string, writes bool, shape string) (sent bool, err error) {
 	if c.prepared[name] {
-		return nil
+		return false, nil
 	}
 	if err := c.runControl(ctx, modeller.Statement{Kind: modeller.Prepare, Name: name, Writes: writes, Arguments: shape}); err != nil {
-		return err
+		return true, err
 	}
 	c.prepared[name] = true
-	return nil
+	return true, nil
 }
 
 // ForgetPrepared records that the instance does not know a prepared statement.
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -64,7 +64,7 @@
 		u.trace.dialled++
 	}
 	if err == nil {
-		err = d.prepareSession(ctx, u, conn)
+		err = d.prepareSession(ctx, u, i, conn)
 		if err == nil {
 			return conn, modeller.Response{}
 		}
@@ -103,15 +103,20 @@
 const acquireDivisor = 2
 
 // prepareSession applies the session values and the prepared statement of a unit to
-// a connection.
-func (d *Dispatcher) prepareSession(ctx context.Context, u Unit, conn *connector.PooledConn) error {
+// a connection to an instance.
+func (d *Dispatcher) prepareSession(ctx context.Context, u Unit, i observer.Instance, conn *connector.PooledConn) error {
 	if err := conn.ApplySession(ctx, u.SessionValues); err != nil {
 		return err
 	}
 	if u.Prepared == nil {
 		return nil
 	}
-	return conn.Prepare(ctx, u.Prepared.name(), u.Prepared.Writes, u.Prepared.Text)
+	sent, err := conn.Prepare(ctx, u.Prepared.name(), u.Prepared.Writes, u.Prepared.Text)
+	if sent {
+		d.Journal.Request("prepared", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("name", u.Prepared.name()),
+			journaler.F("writes", u.Prepared.Writes), journaler.F("bytes", len(u.Prepared.Text)), journaler.F("done", err == nil))
+	}
+	return err
 }
 
 // exchange sends a statement and reports the outcome to the observer.
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -132,7 +132,7 @@
 // know its prepared statement.
 func (t *localTransaction) exchange(ctx context.Context, u Unit) (modeller.Response, error) {
 	for {
-		if err := t.d.prepareSession(ctx, u, t.conn); err != nil {
+		if err := t.d.prepareSession(ctx, u, t.instance, t.conn); err != nil {
 			return modeller.Response{}, err
 		}
 		s := u.Statement
