fix: names at instances hold nothing of a client's text

What callers saw: an EXECUTE of a statement prepared as several words ran with another text and as another definition, and was answered with success. A write could be acknowledged and lost, as a read was prepared in its place.

Cause: the name of a prepared statement at the instances was the client's text behind r_ or w_. The text is the last field of its message and may hold blanks; the name is a field inside a message, which ends at a blank. The rest of the text became arguments. Nor did a connection ever forget a statement.

A connection keeps 512 statements and 4 MiB of texts at most; the least recently used ones are deallocated. A VM that receives a unit of work from another one computes the digest itself.

--- a/connector/dial.go
+++ b/connector/dial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/modeller"
+	"github.com/marigoldgauge/marigoldgauge/preparer"
 )
 
 // dialForWaiters opens connections for queued waiters, as far as the bounds allow. The caller holds the lock.
@@ -84,7 +85,7 @@
 	}
 	p.opened++
 	p.consecutiveFull = 0
-	c := &PooledConn{Conn: conn, Organisation: w.organisation, pool: p, isNew: true, acquiredAt: startedAt, values: map[string]string{}, prepared: map[string]bool{}}
+	c := &PooledConn{Conn: conn, Organisation: w.organisation, pool: p, isNew: true, acquiredAt: startedAt, values: map[string]string{}, prepared: preparer.New()}
 	if n := slices.Index(p.queue, w); n >= 0 {
 		p.serve(n, c)
 		p.dialForWaiters(now)
--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/modeller"
+	"github.com/marigoldgauge/marigoldgauge/preparer"
 )
 
 // PooledConn is a Conn with the session state that the instance keeps for it.
@@ -18,7 +19,7 @@
 
 	pool       *Pool
 	values     map[string]string
-	prepared   map[string]bool
+	prepared   *preparer.Statements
 	idleSince  time.Time
 	acquiredAt time.Time
 	isNew      bool
@@ -42,7 +43,8 @@
 		if err := c.runControl(ctx, modeller.Statement{Kind: modeller.Discard}); err != nil {
 			return err
 		}
-		c.values, c.prepared = map[string]string{}, map[string]bool{}
+		c.values = map[string]string{}
+		c.prepared.Clear()
 		break
 	}
 	for name, value := range values {
@@ -57,22 +59,49 @@
 	return nil
 }
 
-// Prepare prepares a statement at the instance under a name, unless the connection
-// has done so already, which sent reports.
-func (c *PooledConn) Prepare(ctx context.Context, name string, writes bool, shape string) (sent bool, err error) {
-	if c.prepared[name] {
+// Prepare prepares a statement at the instance, unless the connection has done so already, which
+// sent reports. Statements that have not been used for long are deallocated if there is no room.
+// After an error the connection must not be used again.
+func (c *PooledConn) Prepare(ctx context.Context, d preparer.Digest, writes bool, text string) (sent bool, err error) {
+	if _, ok := c.prepared.Name(d); ok {
 		return false, nil
 	}
-	if err := c.runControl(ctx, modeller.Statement{Kind: modeller.Prepare, Name: name, Writes: writes, Arguments: shape}); err != nil {
+	for {
+		name, ok := c.prepared.Evict(len(text))
+		if !ok {
+			break
+		}
+		if err := c.deallocate(ctx, name); err != nil {
+			return true, err
+		}
+	}
+	name := c.prepared.NewName()
+	if err := c.runControl(ctx, modeller.Statement{Kind: modeller.Prepare, Name: name, Writes: writes, Arguments: text}); err != nil {
 		return true, err
 	}
-	c.prepared[name] = true
+	c.prepared.Add(d, name, len(text))
 	return true, nil
 }
 
+// deallocate removes a prepared statement at the instance.
+func (c *PooledConn) deallocate(ctx context.Context, name string) error {
+	a, err := c.Exchange(ctx, modeller.Statement{Kind: modeller.Deallocate, Name: name})
+	if err == nil && a.Result != modeller.Done && a.Result != modeller.Unprepared {
+		err = eris.Errorf("the instance did not deallocate a statement: %s %s", a.Result, a.Detail)
+	}
+	return err
+}
+
+// PreparedName returns the name of a prepared statement at the instance; it is empty if the
+// connection has not prepared the statement.
+func (c *PooledConn) PreparedName(d preparer.Digest) string {
+	name, _ := c.prepared.Name(d)
+	return name
+}
+
 // ForgetPrepared records that the instance does not know a prepared statement.
-func (c *PooledConn) ForgetPrepared(name string) {
-	delete(c.prepared, name)
+func (c *PooledConn) ForgetPrepared(d preparer.Digest) {
+	c.prepared.Remove(d)
 }
 
 // runControl runs a statement that the proxy itself issues.
--- a/delegator/message.go
+++ b/delegator/message.go
@@ -94,7 +94,8 @@
 		Organisation: u.Organisation, StartedAt: now, SessionValues: u.Values, LastCommit: u.Session,
 	}
 	if u.Prepared {
-		out.Prepared = &dispatcher.PreparedStatement{Writes: u.ShapeWrites, Text: u.Shape}
+		d := dispatcher.NewPreparedStatement(u.ShapeWrites, u.Shape)
+		out.Prepared = &d
 	}
 	return out
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -111,9 +111,9 @@
 	if u.Prepared == nil {
 		return nil
 	}
-	sent, err := conn.Prepare(ctx, u.Prepared.name(), u.Prepared.Writes, u.Prepared.Text)
+	sent, err := conn.Prepare(ctx, u.Prepared.digest, u.Prepared.Writes, u.Prepared.Text)
 	if sent {
-		d.Journal.Request("prepared", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("name", u.Prepared.name()),
+		d.Journal.Request("prepared", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("name", conn.PreparedName(u.Prepared.digest)),
 			journaler.F("writes", u.Prepared.Writes), journaler.F("bytes", len(u.Prepared.Text)), journaler.F("done", err == nil))
 	}
 	return err
@@ -121,8 +121,8 @@
 
 // exchange sends a statement and reports the outcome to the observer.
 func (d *Dispatcher) exchange(ctx context.Context, u Unit, i observer.Instance, conn *connector.PooledConn, s modeller.Statement) (modeller.Response, error) {
-	if s.Kind == modeller.Execute && u.Prepared != nil {
-		s.Name = u.Prepared.name()
+	if s.Kind == modeller.Execute {
+		s.Name = u.preparedName(conn)
 	}
 	sent := d.Clock.Now()
 	var term uint64
@@ -150,8 +150,8 @@
 			journaler.Term(term), journaler.F("position", a.Position), journaler.Reason(supersededReason))
 		return refuse(modeller.InDoubt, coder.NotConfirmed, supersededReason), nil
 	}
-	if a.Result == modeller.Unprepared && s.Kind == modeller.Execute {
-		conn.ForgetPrepared(s.Name)
+	if a.Result == modeller.Unprepared && u.Prepared != nil {
+		conn.ForgetPrepared(u.Prepared.digest)
 	}
 	return a, nil
 }
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/connector"
 	"github.com/marigoldgauge/marigoldgauge/modeller"
+	"github.com/marigoldgauge/marigoldgauge/preparer"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
@@ -30,21 +33,28 @@
 	trace *trace
 }
 
-// PreparedStatement is a prepared statement.
+// PreparedStatement is the definition of a prepared statement.
 type PreparedStatement struct {
 	// Writes reports whether the prepared statement changes data.
 	Writes bool
 	// Text is the text of the prepared statement.
 	Text string
+
+	digest preparer.Digest
+}
+
+// NewPreparedStatement returns the definition of a prepared statement.
+func NewPreparedStatement(writes bool, text string) PreparedStatement {
+	return PreparedStatement{Writes: writes, Text: text, digest: preparer.NewDigest(strconv.FormatBool(writes), text)}
 }
 
-// name returns the name under which the definition is prepared at instances. Equal
-// definitions of different callers share a name.
-func (d PreparedStatement) name() string {
-	if d.Writes {
-		return "w_" + d.Text
+// preparedName returns the name that the prepared statement of the unit has on a connection. It is
+// empty, which no message carries, if the unit has none.
+func (u Unit) preparedName(conn *connector.PooledConn) string {
+	if u.Prepared == nil {
+		return ""
 	}
-	return "r_" + d.Text
+	return conn.PreparedName(u.Prepared.digest)
 }
 
 // needsPrimary reports whether the unit may run only on the primary.
--- a/sessioner/statement.go
+++ b/sessioner/statement.go
@@ -46,7 +46,7 @@
 		s.values[st.Name] = st.Arguments
 		return modeller.Response{}, nil
 	case modeller.Prepare:
-		s.prepared[st.Name] = dispatcher.PreparedStatement{Writes: st.Writes, Text: st.Arguments}
+		s.prepared[st.Name] = dispatcher.NewPreparedStatement(st.Writes, st.Arguments)
 		return modeller.Response{}, nil
 	case modeller.Deallocate:
 		delete(s.prepared, st.Name)
