fix: the report of left-out lines no longer reads counts that callers change

Cause: with no line left out, reportDropped kept the shared map and iterated over it without the lock. A caller that is over its rate writes to it meanwhile, which ends a Go process (concurrent map iteration and map write).

Change: the report always takes the map and leaves a new one.

--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -196,9 +196,7 @@
 func (j *Journaler) reportDropped() {
 	j.mu.Lock()
 	dropped := j.dropped
-	if len(dropped) > 0 {
-		j.dropped = map[string]uint64{}
-	}
+	j.dropped = map[string]uint64{}
 	j.mu.Unlock()
 	kinds := make([]string, 0, len(dropped))
 	for k := range dropped {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -89,3 +89,28 @@
 		g.Expect(count(h.lines, "lines-left-out")).To(BeNumerically(">", 0))
 	})
 }
+
+// Guards against a report of dropped lines that reads their counts while a caller changes them, which ends
+// the process.
+func TestLinesAreDroppedDuringAReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := journaler.New(&log.Logger{Handler: &recordingHandler{}, Level: log.InfoLevel}, timekeeper.ClockFunc(time.Now))
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return j.Run(ctx) })
+		for range 8 {
+			group.Go(func() error {
+				for ctx.Err() == nil {
+					for range 100 {
+						j.LogStateChange("flood")
+					}
+					time.Sleep(2500 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+		time.Sleep(20 * time.Second)
+		cancel()
+		NewWithT(t).Expect(group.Wait()).To(Succeed())
+	})
+}
