fix: a holder runs statements of any bytes and of any legal length

What callers saw: where another VM holds the connections, a write with bytes that are no UTF-8 was answered INDOUBT though it never ran, a read took two ways, and the holder counted as failed for 2 s. The same for messages of more than 4 MiB: a statement, its definition and a few long session values.

Cause: units of work travel as CBOR, whose decoder rejects texts that are no valid UTF-8, in connections that end at 4 MiB. Clients send any bytes but CR LF.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -209,5 +209,5 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "connecting to a holder")
 	}
-	return drpcconn.New(raw), nil
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions}), nil
 }
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -51,6 +52,7 @@
 	// ran holds the IDs of the statements that ran; rolledBack counts the transactions
 	// that were rolled back.
 	ran        []string
+	units      []dispatcher.Unit
 	rolledBack int
 	// duration is the duration of a statement; panics makes it panic.
 	duration time.Duration
@@ -61,7 +63,7 @@
 	timekeeper.Sleep(ctx, r.duration)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ran = append(r.ran, u.Statement.ID)
+	r.ran, r.units = append(r.ran, u.Statement.ID), append(r.units, u)
 	if r.panics {
 		panic("injected panic")
 	}
@@ -176,6 +178,34 @@
 	})
 }
 
+// Guards against statements that do not reach the holder because of their bytes or their length, which left
+// writes in doubt and took a holder that responds for failed.
+func TestHolderRunsAnyText(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	tests := []struct{ name, text, value string }{
+		{"no valid UTF-8", "PUT a \xff\xfe", "\xff"},
+		{"zero bytes", "PUT a \x00", "\x00"},
+		{"as long as a message may be", long, strings.Repeat(long, 5)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runScenario(t, func(s *scenario) {
+				u := unit("q", true)
+				u.Statement.Arguments, u.SessionValues["colour"] = tt.text, tt.value
+				prepared := dispatcher.NewPreparedStatement(true, tt.text)
+				u.Prepared = &prepared
+				a, ok := s.delegator.Run(context.Background(), u)
+				s.Expect(ok).To(BeTrue())
+				s.Expect(a.Result).To(Equal(modeller.Done))
+				s.Expect(a.Rows[1] == tt.value).To(BeTrue())
+				got := s.runner.units[0]
+				s.Expect(got.Statement.Arguments == tt.text).To(BeTrue())
+				s.Expect(*got.Prepared == prepared).To(BeTrue())
+			})
+		})
+	}
+}
+
 func TestTransactionStaysAtItsHolder(t *testing.T) {
 	runScenario(t, func(s *scenario) {
 		tx, a, ok := s.delegator.Open(context.Background(), unit("b", true))
--- a/delegator/server.go
+++ b/delegator/server.go
@@ -47,7 +47,7 @@
 
 // Serve accepts connections of other VMs until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	err := drpcserver.New(s).Serve(ctx, l)
+	err := drpcserver.NewWithOptions(s, drpcserver.Options{Manager: managerOptions}).Serve(ctx, l)
 	if ctx.Err() != nil {
 		return nil
 	}
