fix: messages that the protocol cannot carry are refused before a byte is sent

What callers could see: an organisation whose name holds a blank got no session at any instance, and its statements were tried until their time was over; a name with a line ending went on as a message of its own. A service or an id of that kind named an instance that every VM chose and none could reach.

Cause: lines were joined from fields without a look at what a field may hold, by its place in the message.

Otherwise nothing is sent, the client is answered ABORTED at once, and the instance does not count as failed.

--- a/connector/dial.go
+++ b/connector/dial.go
@@ -97,6 +97,10 @@
 // recordDial records whether the instance responded to a dial. The caller holds the lock.
 func (p *Pool) recordDial(startedAt time.Time, err error) {
 	var refusal *Refusal
+	var unsent *EncodingError
+	if errors.As(err, &unsent) {
+		return
+	}
 	if err == nil || errors.As(err, &refusal) {
 		p.unansweredSince = time.Time{}
 	} else if p.unansweredSince.IsZero() {
--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -61,7 +61,7 @@
 
 // Prepare prepares a statement at the instance, unless the connection has done so already, which
 // sent reports. Statements that have not been used for long are deallocated if there is no room.
-// After an error the connection must not be used again.
+// After an error other than an EncodingError the connection must not be used again.
 func (c *PooledConn) Prepare(ctx context.Context, d preparer.Digest, writes bool, text string) (sent bool, err error) {
 	if _, ok := c.prepared.Name(d); ok {
 		return false, nil
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -68,7 +68,10 @@
 		if err == nil {
 			return conn, modeller.Response{}
 		}
-		conn.Release(d.Clock.Now(), false)
+		conn.Release(d.Clock.Now(), isUnsent(err))
+	}
+	if isUnservable(err) {
+		return nil, d.abortUnservable(u, i, err)
 	}
 	var refusal *connector.Refusal
 	if errors.As(err, &refusal) {
@@ -134,6 +137,9 @@
 	if u.trace != nil {
 		u.trace.running += now.Sub(sent)
 	}
+	if isUnsent(err) {
+		return d.abortUnservable(u, i, err), nil
+	}
 	if err != nil {
 		d.Observer.RecordFailure(now, i)
 		if commits(u, s.Kind) {
@@ -156,6 +162,31 @@
 	return a, nil
 }
 
+// isUnsent reports whether an error means that nothing of a message was sent.
+func isUnsent(err error) bool {
+	var unsent *connector.EncodingError
+	return errors.As(err, &unsent)
+}
+
+// isUnservable reports whether an error lies in the caller's statement or session, so that no
+// instance can serve it.
+func isUnservable(err error) bool {
+	return isUnsent(err)
+}
+
+// abortUnservable returns the response to a statement that no instance can serve. Nothing ran.
+func (d *Dispatcher) abortUnservable(u Unit, i observer.Instance, err error) modeller.Response {
+	d.Observer.AbandonStatement(i)
+	code := coder.MessageUnsupported
+	var unsent *connector.EncodingError
+	if errors.As(err, &unsent) {
+		code = unsent.Code
+	}
+	d.Journal.Request("abort", u.Statement.ID, journaler.Code(code), journaler.Instance(i.ID), journaler.Group(i.Group),
+		journaler.Reason(err.Error()), journaler.F("kind", u.Statement.Kind))
+	return refuse(modeller.Aborted, code, err.Error())
+}
+
 // awaitKept waits until the log of the successor of a primary that acknowledged a commit of a term
 // at a position is known, and reports whether it contains the commit.
 func (d *Dispatcher) awaitKept(ctx context.Context, group string, term uint64, p tracker.Position) bool {
@@ -192,6 +223,9 @@
 // evaluate returns the response to an attempt; the result is false if the attempt may
 // be retried.
 func (d *Dispatcher) evaluate(u Unit, i observer.Instance, a modeller.Response, err error, sent, confirmed bool) (modeller.Response, bool) {
+	if err == nil && a.Result == modeller.Aborted {
+		return a, true
+	}
 	if err != nil && u.Writes && sent {
 		d.Journal.Request("in-doubt", u.Statement.ID, journaler.Code(coder.OutcomeUnknown), journaler.Instance(i.ID), journaler.Err(err))
 		return refuse(modeller.InDoubt, coder.OutcomeUnknown, "the instance did not answer"), true
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -79,14 +79,14 @@
 	a := d.runWithRetries(ctx, u, func(i observer.Instance, after tracker.Position) (modeller.Response, bool) {
 		conn, a, err := d.sendTo(ctx, u, i, after)
 		if conn == nil {
-			return a, false
+			return a, a.Result == modeller.Aborted
 		}
 		if err == nil && a.Result == modeller.Done {
 			t = &localTransaction{d: d, unit: u, instance: i, conn: conn}
 			return a, true
 		}
 		conn.Release(d.Clock.Now(), err == nil && a.State == modeller.Idle)
-		return a, false
+		return a, a.Result == modeller.Aborted
 	})
 	if t == nil {
 		return nil, a
@@ -164,7 +164,7 @@
 		a.State = modeller.Idle
 		return a
 	}
-	if t.wrote {
+	if t.wrote && !isUnservable(err) {
 		t.d.Journal.Request("in-doubt", u.Statement.ID, journaler.Code(coder.OutcomeUnknown), journaler.Instance(t.instance.ID), journaler.Err(err))
 		return refuse(modeller.InDoubt, coder.OutcomeUnknown, "the instance did not answer the commit")
 	}
