fix: a session that an instance does not understand is no failure of the instance

What callers saw: a statement whose session value or definition the instances refuse was repeated until its time was over, each time on a new connection.

Cause: a PROTOERR to SET or PREPARE was an error like a broken connection. Whoever chooses a statement's text could so make VMs suspect instances.

Change: PROTOERR to a statement that prepares a connection aborts the caller's statement at once, with the reason, and is no failure. Other refusals are tried elsewhere, as before. A COMMIT that was not sent for it is not in doubt.

Result: platform TestRejectedSessionsAreNoFailuresOfInstances fails before and passes after.

--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -110,6 +110,10 @@
 	if err != nil {
 		return err
 	}
+	if a.Result == modeller.ProtocolError {
+		// The statement, and not the instance, is at fault.
+		return &StatementError{Kind: s.Kind, Detail: a.Detail}
+	}
 	if a.Result != modeller.Done {
 		return eris.Errorf("the instance refused %s: %s %s", s.Kind, a.Result, a.Detail)
 	}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -171,7 +171,8 @@
 // isUnservable reports whether an error lies in the caller's statement or session, so that no
 // instance can serve it.
 func isUnservable(err error) bool {
-	return isUnsent(err)
+	var refused *connector.StatementError
+	return isUnsent(err) || errors.As(err, &refused)
 }
 
 // abortUnservable returns the response to a statement that no instance can serve. Nothing ran.
