--- a/delegator/message.go
+++ b/delegator/message.go
@@ -69,12 +69,13 @@
 	Organisation string               `cbor:"15,keyasint,omitempty"`
 	Values       map[string]string    `cbor:"16,keyasint,omitempty"`
 	Session      tracker.Position     `cbor:"17,keyasint,omitzero"`
+	NoPosition   bool                 `cbor:"18,keyasint,omitempty"`
 }
 
 // newWireUnit converts a unit to its wire format and deducts the time already spent on it.
 func newWireUnit(u dispatcher.Unit, elapsed time.Duration) wireUnit {
 	out := wireUnit{
-		ID: u.Statement.ID, Kind: u.Statement.Kind, Name: u.Statement.Name, Arguments: u.Statement.Arguments, Writes: u.Writes,
+		ID: u.Statement.ID, Kind: u.Statement.Kind, Name: u.Statement.Name, Arguments: u.Statement.Arguments, Writes: u.Writes, NoPosition: u.Statement.WithoutPosition,
 		Group: u.Route.Group, RouteKind: u.Route.Kind, Staleness: u.Route.MaxStaleness, Timeout: u.Route.Timeout - elapsed, Target: u.Route.TargetLatency - elapsed,
 		Priority: u.Route.Priority, Organisation: u.Organisation, Values: u.SessionValues, Session: u.LastCommit,
 	}
@@ -89,7 +90,7 @@
 // it, which includes all that was acknowledged before the client sent the unit.
 func (u *wireUnit) toUnit(now time.Time) dispatcher.Unit {
 	out := dispatcher.Unit{
-		Statement: modeller.Statement{ID: u.ID, Kind: u.Kind, Name: u.Name, Arguments: u.Arguments}, Writes: u.Writes,
+		Statement: modeller.Statement{ID: u.ID, Kind: u.Kind, Name: u.Name, Arguments: u.Arguments, WithoutPosition: u.NoPosition}, Writes: u.Writes,
 		Route:        cataloguer.Route{Group: u.Group, Kind: u.RouteKind, MaxStaleness: u.Staleness, Timeout: max(u.Timeout, 0), TargetLatency: max(u.Target, 0), Priority: u.Priority},
 		Organisation: u.Organisation, StartedAt: now, SessionValues: u.Values, LastCommit: u.Session,
 	}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -59,5 +59,5 @@
 
 // needsPrimary reports whether the unit may run only on the primary.
 func (u Unit) needsPrimary() bool {
-	return u.Writes || u.Route.Kind == cataloguer.Primary
+	return u.Writes || u.Route.Kind == cataloguer.Primary || u.Statement.WithoutPosition
 }
--- a/modeller/statement.go
+++ b/modeller/statement.go
@@ -16,6 +16,9 @@
 	Writes bool
 	// MinPosition is the log position that the instance must have reached before it runs the statement; zero means none.
 	MinPosition tracker.Position
+	// WithoutPosition reports that the message of the statement has no room for MinPosition, so that a
+	// read runs on the primary.
+	WithoutPosition bool
 	// Term is the term given to Pause and StepDown.
 	Term uint64
 }
