fix: nobody can make up a statement that has another one's name at an endpoint

What callers could see, over PostgreSQL: the execution of a prepared statement runs another caller's text.

Cause: the global name was two 64-bit xxHashes, the second one over the first one's state. Texts of equal state share both, and a second text for a given one is found at once. Pooled connections serve all organisations: whoever prepares first defines the name. The class is that of the names on the platform's wire, a name that is made of text which a client chose.

--- a/acceptor/statement.go
+++ b/acceptor/statement.go
@@ -1,12 +1,13 @@
 package acceptor
 
 import (
+	"encoding/hex"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/marigoldgauge/marigoldgauge/classifier"
+	"github.com/marigoldgauge/marigoldgauge/preparer"
 )
 
 // preparedStatement is a prepared statement of a client. On the endpoints it has a
@@ -17,14 +18,14 @@
 	raw        []byte
 }
 
+// digestBytes is how much of a digest a name holds: PostgreSQL cuts names at 63 bytes.
+const digestBytes = 28
+
 // newPreparedStatement returns the prepared statement of a Parse message. Its
 // global name is derived from the query and the parameter types.
 func newPreparedStatement(m *pgproto3.Parse, class classifier.Class) (*preparedStatement, error) {
-	h := xxhash.New()
-	_, _ = h.WriteString(m.Query)
-	first := h.Sum64()
-	_, _ = fmt.Fprint(h, m.ParameterOIDs)
-	global := fmt.Sprintf("mg_%016x%016x", first, h.Sum64())
+	digest := preparer.NewDigest(m.Query, fmt.Sprint(m.ParameterOIDs))
+	global := "mg_" + hex.EncodeToString(digest[:digestBytes])
 	raw, err := (&pgproto3.Parse{Name: global, Query: m.Query, ParameterOIDs: m.ParameterOIDs}).Encode(nil)
 	if err != nil {
 		return nil, err
