refactor: prepared statements are counted, and logged where something was amiss

Change: counters by instance of statements prepared and deallocated; the line 'prepared' only where a statement was not accepted or displaced others.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -97,6 +97,8 @@
 			gauge(float64(st.Idle), "endpoint_connections_idle{instance=%q}", id),
 			gauge(float64(st.Waiting), "endpoint_queue_length{instance=%q}", id),
 			counter(st.Opened, "endpoint_connections_opened_total{instance=%q}", id),
+			counter(st.Prepared, "endpoint_statements_prepared_total{instance=%q}", id),
+			counter(st.Deallocated, "endpoint_statements_deallocated_total{instance=%q}", id),
 		)
 	}
 	return out
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +57,8 @@
 	dialer    Dialer
 	clock     timekeeper.Clock
 	dialGroup errgroup.Group
+	// prepared and deallocated count the statements at the instance.
+	prepared, deallocated atomic.Uint64
 
 	mu              sync.Mutex
 	bounds          Bounds
@@ -95,7 +98,8 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Dialling: len(p.dialling), Waiting: len(p.queue), Share: p.bounds.Share, ConsecutiveFull: p.consecutiveFull, Opened: p.opened}
+	return Stats{Open: p.open, Idle: len(p.idle), Dialling: len(p.dialling), Waiting: len(p.queue), Share: p.bounds.Share, ConsecutiveFull: p.consecutiveFull, Opened: p.opened,
+		Prepared: p.prepared.Load(), Deallocated: p.deallocated.Load()}
 }
 
 // Acquire returns a connection for an organisation. Callers with a lower priority
--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -59,12 +59,12 @@
 	return nil
 }
 
-// Prepare prepares a statement at the instance, unless the connection has done so already, which
-// sent reports. Statements that have not been used for long are deallocated if there is no room.
-// After an error other than an EncodingError the connection must not be used again.
-func (c *PooledConn) Prepare(ctx context.Context, d preparer.Digest, writes bool, text string) (sent bool, err error) {
+// Prepare prepares a statement at the instance, unless the connection has done so already. Statements
+// that have not been used for long are deallocated if there is no room, and counted. After an error other
+// than an EncodingError the connection must not be used again.
+func (c *PooledConn) Prepare(ctx context.Context, d preparer.Digest, writes bool, text string) (deallocated int, err error) {
 	if _, ok := c.prepared.Name(d); ok {
-		return false, nil
+		return 0, nil
 	}
 	for {
 		name, ok := c.prepared.Evict(len(text))
@@ -72,15 +72,18 @@
 			break
 		}
 		if err := c.deallocate(ctx, name); err != nil {
-			return true, err
+			return deallocated, err
 		}
+		deallocated++
 	}
 	name := c.prepared.NewName()
 	if err := c.runControl(ctx, modeller.Statement{Kind: modeller.Prepare, Name: name, Writes: writes, Arguments: text}); err != nil {
-		return true, err
+		return deallocated, err
 	}
 	c.prepared.Add(d, name, len(text))
-	return true, nil
+	c.pool.prepared.Add(1)
+	c.pool.deallocated.Add(uint64(deallocated))
+	return deallocated, nil
 }
 
 // deallocate removes a prepared statement at the instance.
--- a/connector/stats.go
+++ b/connector/stats.go
@@ -14,4 +14,7 @@
 	ConsecutiveFull int
 	// Opened is the total number of connections opened.
 	Opened uint64
+	// Prepared is the total number of statements prepared, and Deallocated of those removed again to make
+	// room for others.
+	Prepared, Deallocated uint64
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -114,10 +114,10 @@
 	if u.Prepared == nil {
 		return nil
 	}
-	sent, err := conn.Prepare(ctx, u.Prepared.digest, u.Prepared.Writes, u.Prepared.Text)
-	if sent {
+	deallocated, err := conn.Prepare(ctx, u.Prepared.digest, u.Prepared.Writes, u.Prepared.Text)
+	if err != nil || deallocated > 0 {
 		d.Journal.Request("prepared", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("name", conn.PreparedName(u.Prepared.digest)),
-			journaler.F("writes", u.Prepared.Writes), journaler.F("bytes", len(u.Prepared.Text)), journaler.F("done", err == nil))
+			journaler.F("writes", u.Prepared.Writes), journaler.F("bytes", len(u.Prepared.Text)), journaler.F("deallocated", deallocated), journaler.F("done", err == nil))
 	}
 	return err
 }
