--- a/preparer/statements.go
+++ b/preparer/statements.go
@@ -8,7 +8,6 @@
 
 import (
 	"math"
-	"strconv"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
@@ -19,8 +18,8 @@
 	// maxBytes is the maximum total length of the texts prepared on a connection. A single longer
 	// text is prepared alone.
 	maxBytes = 4 << 20
-	// nameBase is the base of the numbers that are the names, of digits and small letters.
-	nameBase = 36
+	// letters is the number of letters that names consist of.
+	letters = 26
 )
 
 // Statements are the statements that are prepared on one connection.
@@ -51,11 +50,15 @@
 	return known.name, ok
 }
 
-// NewName returns a name that no statement of the connection has had: a name that the instance holds
-// against expectation is never executed as another statement.
+// NewName returns a short name of letters that no statement of the connection has had: a name that
+// the instance holds against expectation is never executed as another statement.
 func (s *Statements) NewName() string {
 	s.named++
-	return strconv.FormatUint(s.named, nameBase)
+	var name []byte
+	for n := s.named; n > 0; n = (n - 1) / letters {
+		name = append(name, 'a'+byte((n-1)%letters))
+	}
+	return string(name)
 }
 
 // Add records that a statement is prepared under a name, with a text of some length.
--- a/preparer/statements_test.go
+++ b/preparer/statements_test.go
@@ -22,7 +22,7 @@
 			g.Expect(ok).To(BeFalse())
 			name := s.NewName()
 			s.Add(d, name, len(text))
-			g.Expect(name).To(MatchRegexp("^[0-9a-z]{1,2}$"))
+			g.Expect(name).To(MatchRegexp("^[a-z]{1,2}$"))
 			names[name] = true
 			known, ok := s.Name(preparer.NewDigest(verb, text))
 			g.Expect(ok).To(BeTrue())
@@ -95,4 +95,9 @@
 	s.Clear()
 	g.Expect(s.Len()).To(BeZero())
 	g.Expect([]string{second, s.NewName()}).NotTo(ContainElement(first))
+	names := map[string]bool{}
+	for range 100_000 {
+		names[s.NewName()] = true
+	}
+	g.Expect(names).To(HaveLen(100_000))
 }
