fix: values and definitions of sessions take a bounded part of a VM's memory

Cause: a session keeps each definition and value that its client sends, of up to 1 MiB each, without a bound, so that one client can use up the memory of a VM and end all of its sessions.

Change: 16 MiB a session and 64 MiB for all sessions of a VM; beyond it SET and PREPARE are answered BUSY, and nothing changes.

--- a/sessioner/server.go
+++ b/sessioner/server.go
@@ -32,6 +32,7 @@
 	refusesFrom       atomic.Pointer[time.Time]
 	transactionsUntil atomic.Pointer[time.Time]
 	group             errgroup.Group
+	retained          retainedBytes
 }
 
 const (
@@ -62,6 +63,7 @@
 	s.group.Go(func() error {
 		defer func() {
 			_ = c.Close()
+			s.retained.resize(ss.retained, -ss.retained)
 			s.mu.Lock()
 			delete(s.sessions, ss)
 			s.mu.Unlock()
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -51,6 +51,8 @@
 	values   map[string]string
 	prepared map[string]dispatcher.PreparedStatement
 	position tracker.Position
+	// retained is the total length of the values and the prepared statements, with their names.
+	retained int64
 
 	// pending is a transaction that the client has begun, but that is not yet begun
 	// on an instance.
--- a/sessioner/statement.go
+++ b/sessioner/statement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/modeller"
 )
@@ -43,13 +44,11 @@
 		s.pending, s.rollbackPending = nil, true
 		return modeller.Response{}, nil
 	case modeller.Set:
-		s.values[st.Name] = st.Arguments
-		return modeller.Response{}, nil
+		return s.setValue(st), nil
 	case modeller.Prepare:
-		s.prepared[st.Name] = dispatcher.NewPreparedStatement(st.Writes, st.Arguments)
-		return modeller.Response{}, nil
+		return s.prepare(st), nil
 	case modeller.Deallocate:
-		delete(s.prepared, st.Name)
+		s.deallocate(st)
 		return modeller.Response{}, nil
 	case modeller.Read, modeller.Write, modeller.Execute:
 		return s.runStatement(ctx, st)
@@ -58,6 +57,47 @@
 	}
 }
 
+// setValue sets a session value.
+func (s *session) setValue(st modeller.Statement) modeller.Response {
+	former, known := s.values[st.Name]
+	if a := s.retain(st, former, known); a.Result != modeller.Done {
+		return a
+	}
+	s.values[st.Name] = st.Arguments
+	return modeller.Response{}
+}
+
+// prepare prepares a statement, in place of a former one with its name.
+func (s *session) prepare(st modeller.Statement) modeller.Response {
+	former, known := s.prepared[st.Name]
+	if a := s.retain(st, former.Text, known); a.Result != modeller.Done {
+		return a
+	}
+	s.prepared[st.Name] = dispatcher.NewPreparedStatement(st.Writes, st.Arguments)
+	return modeller.Response{}
+}
+
+// deallocate removes a prepared statement.
+func (s *session) deallocate(st modeller.Statement) {
+	if former, known := s.prepared[st.Name]; known {
+		s.retained, _ = s.server.retained.resize(s.retained, -int64(len(st.Name)+len(former.Text)))
+		delete(s.prepared, st.Name)
+	}
+}
+
+// retain makes room for a named text in place of a former one, or returns a refusal.
+func (s *session) retain(st modeller.Statement, former string, known bool) modeller.Response {
+	difference := int64(len(st.Arguments) - len(former))
+	if !known {
+		difference += int64(len(st.Name))
+	}
+	var ok bool
+	if s.retained, ok = s.server.retained.resize(s.retained, difference); !ok {
+		return s.refuse(st.ID, modeller.Busy, coder.MessageTooLarge, "the sessions retain too many values and definitions")
+	}
+	return modeller.Response{}
+}
+
 // answerFailed answers a statement in a failed transaction.
 func (s *session) answerFailed(st modeller.Statement) modeller.Response {
 	switch st.Kind {
