fix: replicas resume when the term of an earlier attempt is given back

Cause: after an attempt whose outcome is unknown, the next one pauses the replicas for a later term than its successor leads, and a promotion ends pauses up to its own term only. Commits reached the leaving former primary alone, and nobody once it had left: the primary counted as lost, again and again.

Change: the holder that gives the reserved term back when it opens the successor resumes the replicas. A fake replica stays paused beyond the successor's term.

--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -173,6 +173,8 @@
 		// Processes that start later wait until no VM can hold an earlier view lease.
 		s.Journal.LogStateChange("opening-not-recorded", journaler.Group(group), journaler.Err(err))
 	} else if reopened {
+		// The promotion ended no pause: the replicas were paused for a later term.
+		s.queryAll(ctx, withoutInstance(s.Observer.Instances(group), primary), modeller.Statement{Kind: modeller.Resume})
 		s.Announcer.Announce(ctx, s.Clock.Now(), s.Lease.LastKnown())
 	}
 }
