fix: tokens go on from the latest lease that a VM knows of

Cause: the lease was what the store returned, though VMs knew of a later one.

Change: the latest record that a VM has read or heard of counts. If the store returns an earlier one, its holder is waited for a whole lease anew, and the next write goes on from the later record.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -35,6 +35,12 @@
 	writing chan struct{}
 
 	mu sync.Mutex
+	// latest is the latest record that this VM knows of, from the store or from another VM.
+	// Its maps are shared and not changed.
+	latest Record
+	// restored reports that the store last returned an earlier record than latest, as a
+	// store does that was restored from a copy.
+	restored bool
 	// nextBatch collects the changes that are written next; nil if there are none.
 	nextBatch *batch
 	record    Record
@@ -81,13 +87,18 @@
 func (l *Leaser) LearnRecord(now time.Time, r Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r.Writes > l.latest.Writes {
+		l.latest = r
+	}
 	if l.heard.since.IsZero() || r.Writes > l.heard.turn {
 		l.heard = observation{turn: r.Writes, since: now}
 	}
 }
 
 // update records the object of the lease as read. An empty version means that
-// the lease does not exist.
+// the lease does not exist. A store that was restored from a copy returns an earlier
+// record than this VM knows of: the later one counts, and its age starts anew, as its
+// holder may still act on it.
 func (l *Leaser) update(now time.Time, o keeper.Object) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -97,13 +108,20 @@
 			return eris.Wrapf(err, "decoding the lease %s", l.key)
 		}
 	}
-	if l.since.IsZero() || o.Version != l.version {
+	restored := r.Writes < l.latest.Writes
+	switch {
+	case restored && (!l.restored || o.Version != l.version):
+		l.since = now
+	case !restored && (l.since.IsZero() || o.Version != l.version):
 		l.since = now
 		if l.heard.turn == r.Writes && !l.heard.since.IsZero() {
 			l.since = l.heard.since
 		}
 	}
-	l.record, l.version = r, o.Version
+	if restored {
+		r = l.latest
+	}
+	l.record, l.latest, l.version, l.restored = r, r, o.Version, restored
 	return nil
 }
 
@@ -153,7 +171,7 @@
 func (l *Leaser) next(changes []func(r *Record)) (Record, keeper.Condition, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.version != "" && l.record.Holder != l.holder && l.clock.Now().Sub(l.since) < l.lease {
+	if l.record.Holder != "" && l.record.Holder != l.holder && l.clock.Now().Sub(l.since) < l.lease {
 		return Record{}, keeper.Condition{}, ErrHeld
 	}
 	next := l.record.clone()
@@ -189,7 +207,7 @@
 func (l *Leaser) grant(sent time.Time, r Record, version string) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.record, l.version, l.since = r, version, sent
+	l.record, l.latest, l.version, l.since, l.restored = r, r, version, sent, false
 	// The last quarter of the lease covers an action in flight when the grant expires.
 	return Grant{Holder: l.holder, Token: r.Token, ExpiresAt: sent.Add(l.lease * 3 / 4)}
 }
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -126,6 +126,65 @@
 	g.Expect(grant.Token).To(BeEquivalentTo(2))
 }
 
+// Guards against a holder whose token was given before, and against one that takes the lease while
+// another one may act on it, after the store was restored from a copy.
+func TestStoreIsRestoredFromACopy(t *testing.T) {
+	const copyAge = 2 * time.Second
+	tests := []struct {
+		name string
+		// read reports that the other VM read the copied record itself before.
+		copied, read bool
+	}{
+		{"the lease is gone", false, false},
+		{"an earlier lease is back", true, false},
+		{"an earlier lease is back under the version that was read before", true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newFixture()
+			if tt.copied {
+				_, err := w.a.Acquire(t.Context(), nil)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			if tt.read {
+				_, _, err := w.b.Read(t.Context())
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			backup := *w.store
+			w.now = w.now.Add(copyAge)
+			restarted := w.newLeaser("a", 2)
+			grant, err := restarted.Acquire(t.Context(), func(r *leaser.Record) { r.Superseded["g"] = 3 })
+			g.Expect(err).NotTo(HaveOccurred())
+			w.b.LearnRecord(w.now, restarted.LastKnown())
+			*w.store = backup
+			w.now = w.now.Add(lease - copyAge)
+			_, err = w.b.Acquire(t.Context(), nil)
+			g.Expect(err).To(MatchError(leaser.ErrHeld), "the grant is valid: %t", grant.Valid(w.now))
+			w.now = w.now.Add(lease)
+			next, err := w.b.Acquire(t.Context(), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(next.Token).To(Equal(grant.Token + 1))
+			g.Expect(w.b.LastKnown().Superseded).To(HaveKeyWithValue("g", BeEquivalentTo(3)))
+			g.Expect(w.b.LastKnown().Writes).To(BeNumerically(">", restarted.LastKnown().Writes))
+		})
+	}
+}
+
+// A holder writes its lease again after the store was restored from a copy.
+func TestHolderRestoresItsLease(t *testing.T) {
+	g := NewWithT(t)
+	w := newFixture()
+	first, err := w.a.Acquire(t.Context(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	w.store.object = keeper.Object{}
+	again, err := w.a.Acquire(t.Context(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Token).To(Equal(first.Token))
+	_, err = w.b.Acquire(t.Context(), nil)
+	g.Expect(err).To(MatchError(leaser.ErrHeld))
+}
+
 func TestLostRequestAndResponse(t *testing.T) {
 	tests := []struct {
 		name                      string
