fix: a quoted name of a setting no longer selects another organisation

What callers could see, over PostgreSQL: set local "Marigoldgauge".organisation, or set local "ROLE", passes as any setting of a transaction, and its statements run as another organisation or role.

Cause: the classifier compares names as the parser returns them, which keeps the case of quoted ones; PostgreSQL compares names of settings regardless of case.

Change: names are compared in small letters.

Result: classifier TestStatementsThatSetSharedStateAreRefused; its four cases fail before.

--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -156,12 +156,14 @@
 
 // classifySet classifies SET and RESET.
 func classifySet(s *pgquery.VariableSetStmt) Class {
+	// PostgreSQL compares names of settings regardless of case, also quoted ones.
+	name := strings.ToLower(s.Name)
 	switch {
 	case s.Name == SessionSetting && s.Kind == pgquery.VariableSetKind_VAR_SET_VALUE && len(s.Args) == 1:
 		return Class{Kind: SetSession, Token: s.Args[0].GetAConst().GetSval().GetSval()}
-	case strings.HasPrefix(s.Name, "marigoldgauge."):
+	case strings.HasPrefix(name, "marigoldgauge."):
 		return refusedClass("the setting " + s.Name + " belongs to the proxy")
-	case identitySettings[s.Name]:
+	case identitySettings[name]:
 		return refusedClass("the identity " + s.Name + " belongs to the proxy")
 	case s.IsLocal || s.Name == "TRANSACTION":
 		return Class{Kind: InTransaction}
--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// Guards against the organisation, the role or other state of a shared connection that a client's text sets in
+// another spelling or in a nested statement, so that the next client's statements run with it.
+func TestStatementsThatSetSharedStateAreRefused(t *testing.T) {
+	c := classifier.New()
+	tests := []struct{ name, text string }{
+		{"quoted capitals", `set local "Marigoldgauge".organisation = 'other'`},
+		{"a quoted name", `set local "MARIGOLDGAUGE.ORGANISATION" = 'other'`},
+		{"a quoted role", `set local "ROLE" = other`},
+		{"a quoted authorization", `set local "Session_Authorization" = other`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(c.Classify(tt.text).Kind.String()).To(Equal(classifier.Refused.String()))
+		})
+	}
+}
+
 func BenchmarkClassify(b *testing.B) {
 	c := classifier.New()
 	b.ReportAllocs()
