fix: nested statements no longer change the settings of a shared connection

What callers could see, over PostgreSQL: the query of a cursor, an update of the view pg_settings, and the texts that query_to_xml and ts_stat run may call set_config, or do the same. The setting outlives the transaction, and the connection, which counts as that of its organisation, serves the next client with it.

Cause: the queries of cursors were not scanned, and the scan knew neither the view nor functions that run a text.

Change: all of them are refused, as set_config is. Functions that a client defines, with its rights at the endpoint, are still not looked into.

Result: classifier TestStatementsThatSetSharedStateAreRefused; its seven new cases fail before.

--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -77,7 +77,12 @@
 		return Class{Kind: Read}
 	case *pgquery.Node_ExplainStmt:
 		return classifyStatement(s.ExplainStmt.Query)
-	case *pgquery.Node_DeclareCursorStmt, *pgquery.Node_FetchStmt, *pgquery.Node_ClosePortalStmt, *pgquery.Node_ConstraintsSetStmt:
+	case *pgquery.Node_DeclareCursorStmt:
+		if class := classifyWrite(s.DeclareCursorStmt.Query); class.Kind == Refused {
+			return class
+		}
+		return Class{Kind: InTransaction}
+	case *pgquery.Node_FetchStmt, *pgquery.Node_ClosePortalStmt, *pgquery.Node_ConstraintsSetStmt:
 		return Class{Kind: InTransaction}
 	case *pgquery.Node_CopyStmt:
 		return refusedClass("COPY is not supported")
@@ -190,7 +195,12 @@
 	switch n := m.Interface().(type) {
 	case *pgquery.FuncCall:
 		f.visitCall(n)
-	case *pgquery.LockingClause, *pgquery.InsertStmt, *pgquery.UpdateStmt, *pgquery.DeleteStmt, *pgquery.MergeStmt:
+	case *pgquery.UpdateStmt:
+		f.writes = true
+		if n.GetRelation().GetRelname() == settingsView {
+			f.sessionFunction = settingsView
+		}
+	case *pgquery.LockingClause, *pgquery.InsertStmt, *pgquery.DeleteStmt, *pgquery.MergeStmt:
 		f.writes = true
 	}
 	m.Range(func(d protoreflect.FieldDescriptor, v protoreflect.Value) bool {
--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -77,6 +77,13 @@
 		{"a quoted name", `set local "MARIGOLDGAUGE.ORGANISATION" = 'other'`},
 		{"a quoted role", `set local "ROLE" = other`},
 		{"a quoted authorization", `set local "Session_Authorization" = other`},
+		{"a cursor", `declare c cursor for select set_config('marigoldgauge.organisation', 'x', false)`},
+		{"a lock of a cursor", `declare c cursor with hold for select pg_advisory_lock(1)`},
+		{"the view of settings", `update pg_settings set setting = 'x' where name = 'marigoldgauge.organisation'`},
+		{"the view of settings with its schema", `update pg_catalog.pg_settings set setting = 'x'`},
+		{"the view of settings in a common table expression", `with a as (update pg_settings set setting = 'x' returning 1) select 1`},
+		{"a text that is run", `select query_to_xml('select set_config(''marigoldgauge.organisation'', ''x'', false)', true, false, '')`},
+		{"a text whose words are counted", `select * from ts_stat('select set_config(''marigoldgauge.organisation'', ''x'', false)::tsvector')`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -84,6 +91,9 @@
 			g.Expect(c.Classify(tt.text).Kind.String()).To(Equal(classifier.Refused.String()))
 		})
 	}
+	g := NewWithT(t)
+	g.Expect(c.Classify("declare c cursor for select 1").Kind).To(Equal(classifier.InTransaction))
+	g.Expect(c.Classify("select setting from pg_settings").Kind).To(Equal(classifier.Read))
 }
 
 func BenchmarkClassify(b *testing.B) {
--- a/classifier/functions.go
+++ b/classifier/functions.go
@@ -12,11 +12,16 @@
 // identitySettings are the settings that select the role of a connection.
 var identitySettings = newSet("role", "session_authorization")
 
-// sessionFunctions are the functions that use session state, which outlives the transaction.
+// settingsView is the view whose updates change settings of the session.
+const settingsView = "pg_settings"
+
+// sessionFunctions are the functions that use session state, which outlives the transaction, or that run
+// a text, which may use it.
 var sessionFunctions = newSet(
 	"pg_advisory_lock", "pg_advisory_lock_shared", "pg_try_advisory_lock", "pg_try_advisory_lock_shared",
 	"pg_advisory_unlock", "pg_advisory_unlock_shared", "pg_advisory_unlock_all",
 	"set_config", "currval", "lastval", "setseed",
+	"query_to_xml", "query_to_xmlschema", "query_to_xml_and_xmlschema", "ts_stat",
 )
 
 // readFunctions are the functions that are known to have no side effects on data.
