fix: sessions no longer keep the messages in which values and definitions came

A client that chooses long ids takes 1 MiB for each byte that is counted.

Change: sessions keep copies.

--- a/sessioner/statement.go
+++ b/sessioner/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
@@ -63,7 +64,8 @@
 	if a := s.retain(st, former, known); a.Result != modeller.Done {
 		return a
 	}
-	s.values[st.Name] = st.Arguments
+	// The texts are parts of the client's message, which would be kept with them.
+	s.values[strings.Clone(st.Name)] = strings.Clone(st.Arguments)
 	return modeller.Response{}
 }
 
@@ -73,7 +75,7 @@
 	if a := s.retain(st, former.Text, known); a.Result != modeller.Done {
 		return a
 	}
-	s.prepared[st.Name] = dispatcher.NewPreparedStatement(st.Writes, st.Arguments)
+	s.prepared[strings.Clone(st.Name)] = dispatcher.NewPreparedStatement(st.Writes, strings.Clone(st.Arguments))
 	return modeller.Response{}
 }
 
