fix: short values and definitions of sessions count with their entries

Cause: counts the lengths of texts alone. A million values of one session, of names of four letters and no text, count 4 MB and take 87 MiB; definitions take 167 MiB.

Change: each value and each definition counts 80 bytes more.

--- a/sessioner/retained.go
+++ b/sessioner/retained.go
@@ -8,6 +8,8 @@
 	maxSessionBytes = 16 << 20
 	// maxRetainedBytes is that of all sessions of a VM.
 	maxRetainedBytes = 64 << 20
+	// entryBytes is what a value or a prepared statement takes beyond its name and its text.
+	entryBytes = 80
 )
 
 // retainedBytes counts the bytes that the sessions of a VM retain for their clients.
--- a/sessioner/retained_test.go
+++ b/sessioner/retained_test.go
@@ -1,11 +1,71 @@
 package sessioner
 
 import (
+	"net/netip"
+	"runtime"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/journaler"
+	"github.com/marigoldgauge/marigoldgauge/modeller"
 )
 
+// Guards against a session that takes the memory of a VM with many short values and definitions, whose entries
+// need more than their texts.
+func TestShortTextsCountWithTheirEntries(t *testing.T) {
+	tests := []struct {
+		kind modeller.Kind
+		most uint64
+	}{
+		{modeller.Set, 2 * maxSessionBytes},
+		{modeller.Prepare, 3 * maxSessionBytes},
+	}
+	for _, tt := range tests {
+		t.Run(tt.kind.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			s := &session{server: &Server{Journal: discard{}, Catalogue: &cataloguer.Holder{}}, caller: nobody{}, values: map[string]string{}, prepared: map[string]dispatcher.PreparedStatement{}}
+			heap := func() uint64 {
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				return m.HeapAlloc
+			}
+			before := heap()
+			refused := false
+			for n := 0; n < 1_000_000 && !refused; n++ {
+				a, err := s.answer(t.Context(), modeller.Statement{Kind: tt.kind, Name: strconv.FormatInt(int64(n), 36)})
+				g.Expect(err).NotTo(HaveOccurred())
+				refused = a.Result == modeller.Busy
+			}
+			grown := heap() - before
+			t.Logf("the heap grew by %d MiB", grown>>20)
+			g.Expect(refused).To(BeTrue())
+			g.Expect(grown).To(BeNumerically("<", tt.most))
+			for name := range s.prepared {
+				s.deallocate(modeller.Statement{Kind: modeller.Deallocate, Name: name})
+			}
+			if tt.kind == modeller.Prepare {
+				g.Expect(s.retained).To(BeZero())
+			}
+		})
+	}
+}
+
+// discard is a journal that keeps nothing.
+type discard struct{}
+
+func (discard) Request(string, string, ...journaler.Field) {}
+func (discard) LogStateChange(string, ...journaler.Field)  {}
+
+// nobody is a client without an address.
+type nobody struct{ Client }
+
+func (nobody) RemoteAddress() netip.AddrPort { return netip.AddrPort{} }
+
 // Guards against sessions that take all of the memory of a VM with values and definitions.
 func TestRetainedBytesAreBounded(t *testing.T) {
 	const step = 1 << 20
--- a/sessioner/statement.go
+++ b/sessioner/statement.go
@@ -82,7 +82,7 @@
 // deallocate removes a prepared statement.
 func (s *session) deallocate(st modeller.Statement) {
 	if former, known := s.prepared[st.Name]; known {
-		s.retained, _ = s.server.retained.resize(s.retained, -int64(len(st.Name)+len(former.Text)))
+		s.retained, _ = s.server.retained.resize(s.retained, -int64(len(st.Name)+len(former.Text)+entryBytes))
 		delete(s.prepared, st.Name)
 	}
 }
@@ -91,7 +91,7 @@
 func (s *session) retain(st modeller.Statement, former string, known bool) modeller.Response {
 	difference := int64(len(st.Arguments) - len(former))
 	if !known {
-		difference += int64(len(st.Name))
+		difference += int64(len(st.Name) + entryBytes)
 	}
 	var ok bool
 	if s.retained, ok = s.server.retained.resize(s.retained, difference); !ok {
