fix: a session that takes long to apply is no failure of the instance

What callers could see: a session that sets a thousand values has no statement served, and its attempts replace the primary again and again: 8 promotions in 25 s at 2 ms a round trip, with 1,000 values and time-outs of 1 s. With other reads every 2 s it is 8 as well, on one VM and on three; with reads every 500 ms there is none.

Cause: a VM applies the values one by one within the time of the statement. When this time was over, it counted the instance as silent, though it had just responded to hundreds of statements.

Change: a time-out after responses to the proxy's own statements, to apply values or to deallocate, says nothing about the instance, and is logged as session-not-applied. Such a session is still answered BUSY at the end of the time of its route.

--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -20,6 +20,7 @@
 	pool       *Pool
 	values     map[string]string
 	prepared   *preparer.Statements
+	responses  uint64
 	idleSince  time.Time
 	acquiredAt time.Time
 	isNew      bool
@@ -30,6 +31,12 @@
 	return c.isNew
 }
 
+// Responses returns the number of statements of the proxy itself that the instance has responded to on the
+// connection.
+func (c *PooledConn) Responses() uint64 {
+	return c.responses
+}
+
 // ApplySession sets exactly the given session values on the connection. It discards
 // the session state of the connection if a value must be unset.
 func (c *PooledConn) ApplySession(ctx context.Context, values map[string]string) error {
@@ -88,7 +95,7 @@
 
 // deallocate removes a prepared statement at the instance.
 func (c *PooledConn) deallocate(ctx context.Context, name string) error {
-	a, err := c.Exchange(ctx, modeller.Statement{Kind: modeller.Deallocate, Name: name})
+	a, err := c.exchangeControl(ctx, modeller.Statement{Kind: modeller.Deallocate, Name: name})
 	if err == nil && a.Result != modeller.Done && a.Result != modeller.Unprepared {
 		err = eris.Errorf("the instance did not deallocate a statement: %s %s", a.Result, a.Detail)
 	}
@@ -109,7 +116,7 @@
 
 // runControl runs a statement that the proxy itself issues.
 func (c *PooledConn) runControl(ctx context.Context, s modeller.Statement) error {
-	a, err := c.Exchange(ctx, s)
+	a, err := c.exchangeControl(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -123,6 +130,15 @@
 	return nil
 }
 
+// exchangeControl exchanges a statement that the proxy itself issues.
+func (c *PooledConn) exchangeControl(ctx context.Context, s modeller.Statement) (modeller.Response, error) {
+	a, err := c.Exchange(ctx, s)
+	if err == nil {
+		c.responses++
+	}
+	return a, err
+}
+
 // Release returns the connection to the pool, which closes it unless it is reusable.
 func (c *PooledConn) Release(now time.Time, reusable bool) {
 	c.pool.release(now, c, reusable)
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
@@ -63,16 +64,25 @@
 	if conn != nil && conn.IsNew() {
 		u.trace.dialled++
 	}
+	responded := false
 	if err == nil {
+		before := conn.Responses()
 		err = d.prepareSession(ctx, u, i, conn)
 		if err == nil {
 			return conn, modeller.Response{}
 		}
+		responded = conn.Responses() > before
 		conn.Release(d.Clock.Now(), isUnsent(err))
 	}
 	if isUnservable(err) {
 		return nil, d.abortUnservable(u, i, err)
 	}
+	if responded && errors.Is(err, os.ErrDeadlineExceeded) {
+		// The time of the statement is over, as its session takes many statements to apply.
+		d.Observer.AbandonStatement(i)
+		d.Journal.Request("session-not-applied", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("values", len(u.SessionValues)), journaler.Err(err))
+		return nil, modeller.NewErrorResponse(modeller.Busy, err.Error())
+	}
 	var refusal *connector.Refusal
 	if errors.As(err, &refusal) {
 		d.Observer.EndStatement(d.Clock.Now(), d.Clock.Now(), i, modeller.Response{Result: refusal.Result})
