fix: a holder runs statements with many session values or rows

What callers could see: over another VM, a write with more than 131,072 session values is answered INDOUBT though it never ran, and one whose response has more rows than that though it ran; reads are run again elsewhere. The holder counts as failed for 2 s.

Cause: the decoder has bounds of its own for the numbers of elements and pairs, as it had for texts that are not UTF-8.

Change: the length of a message is the only bound.

Result: delegator TestHolderRunsStatementsOfManyParts; each of its cases fails before (in-doubt) and passes after it.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,8 @@
 	// duration is the duration of a statement; panics makes it panic.
 	duration time.Duration
 	panics   bool
+	// rows is the number of additional rows of a response.
+	rows int
 }
 
 func (r *runner) RunAdmitted(ctx context.Context, u dispatcher.Unit) modeller.Response {
@@ -67,7 +70,8 @@
 	if r.panics {
 		panic("injected panic")
 	}
-	return modeller.Response{Rows: []string{u.Organisation, u.SessionValues["colour"]}, Signature: "sig"}
+	rows := append([]string{u.Organisation, u.SessionValues["colour"]}, make([]string, r.rows)...)
+	return modeller.Response{Rows: rows, Signature: "sig"}
 }
 
 func (r *runner) OpenAdmitted(context.Context, dispatcher.Unit) (dispatcher.Transaction, modeller.Response) {
@@ -206,6 +210,34 @@
 	}
 }
 
+// Guards against statements that are lost on the way to or from a holder because of the number of their session
+// values or rows, which left writes in doubt and took a holder that responds for failed.
+func TestHolderRunsStatementsOfManyParts(t *testing.T) {
+	tests := []struct {
+		name         string
+		values, rows int
+	}{
+		{"many values", 200_000, 1},
+		{"many rows", 1, 200_000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runScenario(t, func(s *scenario) {
+				s.runner.rows = tt.rows
+				u := unit("q", true)
+				for n := range tt.values {
+					u.SessionValues[strconv.Itoa(n)] = "x"
+				}
+				a, ok := s.delegator.Run(context.Background(), u)
+				s.Expect(ok).To(BeTrue())
+				s.Expect(a.Result).To(Equal(modeller.Done))
+				s.Expect(s.runner.units[0].SessionValues).To(HaveLen(tt.values + 1))
+				s.Expect(a.Rows).To(HaveLen(tt.rows + 2))
+			})
+		})
+	}
+}
+
 func TestTransactionStaysAtItsHolder(t *testing.T) {
 	runScenario(t, func(s *scenario) {
 		tx, a, ok := s.delegator.Open(context.Background(), unit("b", true))
--- a/delegator/encoding.go
+++ b/delegator/encoding.go
@@ -19,9 +19,10 @@
 // managerOptions are the options of the connections between VMs.
 var managerOptions = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 
-// decoding accepts texts that are not valid UTF-8: callers send statements of any bytes.
+// decoding accepts texts that are not valid UTF-8: callers send statements of any bytes. Only the length of a
+// message bounds the numbers of its values and rows.
 var decoding = func() cbor.DecMode {
-	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxMessageBytes, MaxMapPairs: maxMessageBytes}.DecMode()
 	if err != nil {
 		panic(err)
 	}
