fix: a client's text no longer ends a line of explain

Cause: the log quotes what a client chose, such as the id of a request, but explain prints it as it is. An id with a line feed makes up lines of the output, and one with an escape sequence controls the terminal of who reads it.

Change: values with characters that are not printable are quoted.

Result: narrator TestTextsOfClientsStayInTheirLine; three of its four cases fail before.

--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -7,8 +7,10 @@
 	"io"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/rotisserie/eris"
 )
@@ -96,8 +98,16 @@
 	b.WriteString(" " + l.VM + " " + l.Decision)
 	for _, f := range l.Fields {
 		if f.Value != "" {
-			b.WriteString(" " + f.Name + "=" + f.Value)
+			b.WriteString(" " + f.Name + "=" + printable(f.Value))
 		}
 	}
 	return b.String()
 }
+
+// printable returns a value that holds no control characters: one that does is quoted.
+func printable(value string) string {
+	if strings.ContainsFunc(value, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(value)
+	}
+	return value
+}
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -22,6 +22,24 @@
 timestamp=2026-10-24T11:53:00.0Z level=info message=primary-changed group=g primary=i-1 term=1
 `
 
+// Guards against a text of a client that ends its line in the output, so that what follows looks like a line of
+// the log, or that controls the terminal.
+func TestTextsOfClientsStayInTheirLine(t *testing.T) {
+	tests := []struct{ name, value, want string }{
+		{"a line feed", "7\n11:54:35.000 edge-1 replacement-begun group=g", `request="7\n11:54:35.000 edge-1 replacement-begun group=g"`},
+		{"a carriage return", "7\rx", `request="7\rx"`},
+		{"an escape sequence", "\x1b[2Jx", `request="\x1b[2Jx"`},
+		{"no control character", "a b=c ä", "request=a b=c ä"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			line := narrator.Line{VM: "vm", Decision: "abort", Fields: []narrator.Field{{Name: "request", Value: tt.value}}}
+			g.Expect(line.String()).To(Equal("00:00:00.000 vm abort " + tt.want))
+		})
+	}
+}
+
 func TestStory(t *testing.T) {
 	g := NewWithT(t)
 	var n narrator.Narrator
