fix: texts of clients take a bounded part of the kept decisions and of the log

Cause: the 512 decisions that a process keeps for operators, and those that wait to be written, hold the ids of requests, which are parts of the messages of clients: each keeps up to 1 MiB, also for an id of 16 bytes. A line of the log was up to six times as long as the id, and explain reads no log with a line of more than 1 MiB.

Change: an id is copied, and each text in an entry is cut to 1 KiB.

--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -9,7 +9,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,8 @@
 	queueLength = 1024
 	// maxEvents is the number of recent decisions kept for operators.
 	maxEvents = 512
+	// maxTextBytes is the maximum length of a text in an entry.
+	maxTextBytes = 1 << 10
 	// dropReportInterval is the interval at which dropped lines are reported.
 	dropReportInterval = time.Second
 )
@@ -60,7 +64,7 @@
 
 // Request logs a decision about the request with the given id.
 func (j *Journaler) Request(decision, id string, fields ...Field) {
-	j.record(decision, append([]Field{F("request", id)}, fields...))
+	j.record(decision, append([]Field{F("request", clip(id))}, fields...))
 }
 
 // LogStateChange logs a change of the state that the process assumes for the rest of the
@@ -81,6 +85,7 @@
 	}
 	_, ok := b.Reserve(now, 0)
 	if ok {
+		fields = clipFields(fields)
 		j.store(Event{At: now, Decision: decision, Fields: fields})
 	} else {
 		j.countDropped(decision)
@@ -98,6 +103,30 @@
 	}
 }
 
+// clip returns a copy of a text, cut to maxTextBytes. A text of a client may be part of a long message, which
+// the text itself would keep in memory.
+func clip(text string) string {
+	return strings.Clone(text[:min(len(text), maxTextBytes)])
+}
+
+// clipFields returns fields without texts longer than maxTextBytes.
+func clipFields(fields []Field) []Field {
+	isLong := func(f Field) bool {
+		text, ok := f.Value.(string)
+		return ok && len(text) > maxTextBytes
+	}
+	if !slices.ContainsFunc(fields, isLong) {
+		return fields
+	}
+	fields = slices.Clone(fields)
+	for n, f := range fields {
+		if isLong(f) {
+			fields[n].Value = clip(f.Value.(string))
+		}
+	}
+	return fields
+}
+
 // store keeps a decision and overwrites the oldest one when maxEvents are kept. The
 // lock must be held.
 func (j *Journaler) store(e Event) {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -1,7 +1,10 @@
 package journaler_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -9,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
@@ -43,6 +47,49 @@
 	return n
 }
 
+// Guards against texts of clients that take the memory of a process with its recent decisions, or whose lines are
+// too long to be read.
+func TestTextsAreBounded(t *testing.T) {
+	message := func() string { return strings.Repeat("\x01", 1<<20) }
+	tests := []struct {
+		name   string
+		record func(j *journaler.Journaler)
+	}{
+		{"a part of a long message", func(j *journaler.Journaler) { j.Request("abort", message()[6:22]) }},
+		{"a long id", func(j *journaler.Journaler) { j.Request("abort", message()) }},
+		{"a long reason", func(j *journaler.Journaler) { j.Request("abort", "q", journaler.Reason(message())) }},
+		{"a long error", func(j *journaler.Journaler) { j.LogStateChange("abort", journaler.Err(errors.New(message()))) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1000, 0)
+			var out bytes.Buffer
+			j := journaler.New(&log.Logger{Handler: logfmt.New(&out)}, timekeeper.ClockFunc(func() time.Time { return now }))
+			heap := func() uint64 {
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				return m.HeapAlloc
+			}
+			before := heap()
+			for range 50 {
+				now = now.Add(time.Second)
+				tt.record(j)
+			}
+			grown := int64(heap()) - int64(before)
+			t.Logf("the heap grew by %d KiB", grown>>10)
+			g.Expect(grown).To(BeNumerically("<", 1<<20))
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			g.Expect(j.Run(ctx)).To(Succeed())
+			for line := range strings.Lines(out.String()) {
+				g.Expect(len(line)).To(BeNumerically("<", 16<<10))
+			}
+		})
+	}
+}
+
 // Guards against callers that block while the log handler is blocked.
 func TestBlockedHandlerDoesNotBlockCallers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
