fix: counted connections without a descriptor no longer count as closed

Cause: a counted connection claims to have a file descriptor, also over the network of the tests, where asking for it fails; a pooled connection then counts as closed. In all tests of fleets each statement has a new connection to its instance: 40 of 40. None of them met a second name, value or definition on a connection, so that TestStatementsAreForwardedUnchanged could not see what a former statement leaves there.

Change: only connections over one with a descriptor have one. Nothing changes over TCP.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -12,6 +13,26 @@
 	"github.com/marigoldgauge/marigoldgauge/accountant"
 )
 
+// Guards against a connection without a file descriptor that claims to have one, which then counts as closed.
+func TestConnectionsHaveTheDescriptorsOfTheirs(t *testing.T) {
+	plain, far := net.Pipe()
+	defer func() { _, _ = plain.Close(), far.Close() }()
+	tests := []struct {
+		name string
+		conn net.Conn
+		want bool
+	}{
+		{"a pipe", plain, false},
+		{"TCP", &net.TCPConn{}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, ok := accountant.New().Conn(tt.conn, "a").(syscall.Conn)
+			NewWithT(t).Expect(ok).To(Equal(tt.want))
+		})
+	}
+}
+
 func TestTotals(t *testing.T) {
 	g := NewWithT(t)
 	a := accountant.New()
--- a/accountant/conn.go
+++ b/accountant/conn.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"syscall"
-
-	"github.com/rotisserie/eris"
 )
 
 // conn is a connection whose reads and writes are counted.
@@ -19,7 +17,17 @@
 	if a == nil {
 		return c
 	}
-	return &conn{Conn: c, accountant: a, purpose: purpose}
+	counted := &conn{Conn: c, accountant: a, purpose: purpose}
+	if raw, ok := c.(syscall.Conn); ok {
+		return &rawConn{conn: counted, Conn: raw}
+	}
+	return counted
+}
+
+// rawConn is a conn with a file descriptor.
+type rawConn struct {
+	*conn
+	syscall.Conn
 }
 
 // Read reads from the connection.
@@ -39,15 +47,3 @@
 	}
 	return n, err
 }
-
-// errNoSyscallConn means that a connection has no file descriptor.
-var errNoSyscallConn = eris.New("the connection has no file descriptor")
-
-// SyscallConn returns the raw connection.
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNoSyscallConn
-	}
-	return s.SyscallConn()
-}
