fix: the longest statements are served on connections of many names

What callers could see: an EXECUTE, or a definition, within two bytes of 1 MiB is answered ABORTED each time, for as long as the pooled connection lives: its names have two letters after 26 statements and three after 702, where the client's has one.

Change: a connection on which a message of a prepared statement is too long is closed, and the statement tried again on another one; on a new one it fits. In a transaction the promise that nothing is kept stays, and repeating it succeeds.

--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -24,6 +24,7 @@
 	idleSince  time.Time
 	acquiredAt time.Time
 	isNew      bool
+	retired    bool
 }
 
 // IsNew reports whether the connection was opened for its current use.
@@ -139,7 +140,12 @@
 	return a, err
 }
 
+// Retire makes Release close the connection.
+func (c *PooledConn) Retire() {
+	c.retired = true
+}
+
 // Release returns the connection to the pool, which closes it unless it is reusable.
 func (c *PooledConn) Release(now time.Time, reusable bool) {
-	c.pool.release(now, c, reusable)
+	c.pool.release(now, c, reusable && !c.retired)
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -72,7 +72,11 @@
 			return conn, modeller.Response{}
 		}
 		responded = conn.Responses() > before
+		a, retired := d.retireLongNames(u, i, conn, err)
 		conn.Release(d.Clock.Now(), isUnsent(err))
+		if retired {
+			return nil, a
+		}
 	}
 	if isUnservable(err) {
 		return nil, d.abortUnservable(u, i, err)
@@ -147,6 +151,9 @@
 	if u.trace != nil {
 		u.trace.running += now.Sub(sent)
 	}
+	if a, retired := d.retireLongNames(u, i, conn, err); retired {
+		return a, nil
+	}
 	if isUnsent(err) {
 		return d.abortUnservable(u, i, err), nil
 	}
@@ -185,6 +192,19 @@
 	return isUnsent(err) || errors.As(err, &refused)
 }
 
+// retireLongNames retires a connection if a message of a prepared statement was too long for it: names on a
+// new connection are no longer than those of clients. The response lets the statement be tried again; nothing
+// ran.
+func (d *Dispatcher) retireLongNames(u Unit, i observer.Instance, conn *connector.PooledConn, err error) (a modeller.Response, retired bool) {
+	var unsent *connector.EncodingError
+	if u.Prepared == nil || conn.IsNew() || !errors.As(err, &unsent) || unsent.Code != coder.MessageTooLarge {
+		return a, false
+	}
+	conn.Retire()
+	d.Observer.AbandonStatement(i)
+	return modeller.NewErrorResponse(modeller.Busy, err.Error()), true
+}
+
 // abortUnservable returns the response to a statement that no instance can serve. Nothing ran.
 func (d *Dispatcher) abortUnservable(u Unit, i observer.Instance, err error) modeller.Response {
 	d.Observer.AbandonStatement(i)
