fix: a response to SET or PREPARE is no silence of the instance

Cause: tells PROTOERR alone from a broken connection.

Change: a response with any other code is a ControlError, which says nothing about the instance being reachable. The statement is answered BUSY at the end of its time, as before; each attempt still closes its connection.

--- a/connector/pooledconn.go
+++ b/connector/pooledconn.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/marigoldgauge/marigoldgauge/modeller"
 	"github.com/marigoldgauge/marigoldgauge/preparer"
 )
@@ -98,7 +96,7 @@
 func (c *PooledConn) deallocate(ctx context.Context, name string) error {
 	a, err := c.exchangeControl(ctx, modeller.Statement{Kind: modeller.Deallocate, Name: name})
 	if err == nil && a.Result != modeller.Done && a.Result != modeller.Unprepared {
-		err = eris.Errorf("the instance did not deallocate a statement: %s %s", a.Result, a.Detail)
+		err = &ControlError{Kind: modeller.Deallocate, Result: a.Result, Detail: a.Detail}
 	}
 	return err
 }
@@ -126,7 +124,7 @@
 		return &StatementError{Kind: s.Kind, Detail: a.Detail}
 	}
 	if a.Result != modeller.Done {
-		return eris.Errorf("the instance refused %s: %s %s", s.Kind, a.Result, a.Detail)
+		return &ControlError{Kind: s.Kind, Result: a.Result, Detail: a.Detail}
 	}
 	return nil
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -81,8 +81,9 @@
 	if isUnservable(err) {
 		return nil, d.abortUnservable(u, i, err)
 	}
-	if responded && errors.Is(err, os.ErrDeadlineExceeded) {
-		// The time of the statement is over, as its session takes many statements to apply.
+	var control *connector.ControlError
+	if errors.As(err, &control) || (responded && errors.Is(err, os.ErrDeadlineExceeded)) {
+		// The instance responds, but does not apply the session, or has not done so in the time of the statement.
 		d.Observer.AbandonStatement(i)
 		d.Journal.Request("session-not-applied", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("values", len(u.SessionValues)), journaler.Err(err))
 		return nil, modeller.NewErrorResponse(modeller.Busy, err.Error())
