--- a/sessioner/retained_test.go
+++ b/sessioner/retained_test.go
@@ -55,6 +55,34 @@
 	}
 }
 
+// Guards against a few sessions that leave no room for the values and definitions of all others of a VM.
+func TestEachSessionRetainsSomeBytes(t *testing.T) {
+	g := NewWithT(t)
+	var r retainedBytes
+	for range maxRetainedBytes / maxSessionBytes {
+		_, ok := r.resize(0, maxSessionBytes)
+		g.Expect(ok).To(BeTrue())
+	}
+	tests := []struct {
+		name       string
+		difference int64
+		want       bool
+	}{
+		{"some", 4 << 10, true},
+		{"more", 4<<10 + 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			length, ok := r.resize(0, tt.difference)
+			g.Expect(ok).To(Equal(tt.want))
+			_, ok = r.resize(length, -length)
+			g.Expect(ok).To(BeTrue())
+		})
+	}
+	g.Expect(r.total.Load()).To(BeEquivalentTo(maxRetainedBytes))
+}
+
 // discard is a journal that keeps nothing.
 type discard struct{}
 
