fix: sessions keep a bounded part of their startup message

Beside it, a commit that could not be sent would have left its connection in the pool with an open transaction; nothing reaches that today.

Change: a key has 4 KiB at most, longer ones are answered NOAUTH; the texts are copied. A connection whose commit was not sent is closed.

--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -159,7 +159,8 @@
 		return a
 	}
 	a, err := t.exchange(ctx, u)
-	t.releaseConn(err == nil && a.State == modeller.Idle)
+	// After a commit that was not sent, the transaction is still open at the instance.
+	t.releaseConn(err == nil && a.State == modeller.Idle && a.Result != modeller.Aborted)
 	if err == nil {
 		a.State = modeller.Idle
 		return a
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,8 @@
 	// finalReadTimeout bounds the last read of a session before it is closed, for a
 	// statement that is already in transit.
 	finalReadTimeout = 5 * time.Millisecond
+	// maxKeyBytes is the maximum length of a key, which is kept for the life of the session.
+	maxKeyBytes = 4 << 10
 	// defaultIdleTimeout bounds the idle time within a transaction if the configuration
 	// sets no bound.
 	defaultIdleTimeout = 3 * time.Second
@@ -76,7 +79,12 @@
 	if err != nil {
 		return
 	}
-	s.database, s.key = database, key
+	// The texts are parts of the client's message, which would be kept with them.
+	s.database, s.key = strings.Clone(database), strings.Clone(key[:min(len(key), maxKeyBytes)])
+	if len(key) > maxKeyBytes {
+		_ = s.caller.RejectSession(s.refuse("", modeller.UnknownKey, coder.KeyRefused, "the key is too long"))
+		return
+	}
 	if _, _, refusal := s.resolve(""); refusal.Result != modeller.Done {
 		_ = s.caller.RejectSession(refusal)
 		return
