fix: names in labels do not spoil the text of the metrics

Cause: labels were quoted as Go strings; the Prometheus text format knows three escapes, and a name with a tab or another control character made \t or \x00 of it.

Change: labels are quoted as that format demands; what is no UTF-8 is replaced.

Result: assembler TestMetricLabels.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/marigoldgauge/marigoldgauge/measurer"
@@ -23,12 +22,12 @@
 
 // gauge returns a sample of a gauge.
 func gauge(value float64, name string, labels ...any) measurer.Sample {
-	return measurer.Sample{Name: fmt.Sprintf("marigoldgauge_"+name, labels...), Value: value}
+	return measurer.Sample{Name: metricName(name, labels), Value: value}
 }
 
 // counter returns a sample of a counter.
 func counter(value uint64, name string, labels ...any) measurer.Sample {
-	return measurer.Sample{Name: fmt.Sprintf("marigoldgauge_"+name, labels...), Value: float64(value), IsCounter: true}
+	return measurer.Sample{Name: metricName(name, labels), Value: float64(value), IsCounter: true}
 }
 
 // boolValue returns 1 for true and 0 for false.
