--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
 
 	"github.com/marigoldgauge/marigoldgauge/coder"
 	"github.com/marigoldgauge/marigoldgauge/connector"
@@ -51,92 +49,6 @@
 // supersededReason is the reason of refusals at a primary that is being replaced.
 const supersededReason = "the primary is being replaced"
 
-// acquireConn acquires a connection and applies the caller's session to it.
-func (d *Dispatcher) acquireConn(ctx context.Context, u Unit, i observer.Instance) (*connector.PooledConn, modeller.Response) {
-	pool := d.pool(i.ID)
-	if pool == nil {
-		d.Observer.AbandonStatement(i)
-		return nil, modeller.NewErrorResponse(modeller.Moved, "the instance is gone")
-	}
-	startedAt := d.Clock.Now()
-	conn, err := pool.Acquire(ctx, u.Organisation, u.Route.Priority, u.Route.TargetLatency/acquireDivisor)
-	u.trace.linking += d.Clock.Now().Sub(startedAt)
-	if conn != nil && conn.IsNew() {
-		u.trace.dialled++
-	}
-	responded := false
-	if err == nil {
-		before := conn.Responses()
-		err = d.prepareSession(ctx, u, i, conn)
-		if err == nil {
-			return conn, modeller.Response{}
-		}
-		responded = conn.Responses() > before
-		a, retired := d.retireLongNames(u, i, conn, err)
-		conn.Release(d.Clock.Now(), isUnsent(err))
-		if retired {
-			return nil, a
-		}
-	}
-	if isUnservable(err) {
-		return nil, d.abortUnservable(u, i, err)
-	}
-	var control *connector.ControlError
-	if errors.As(err, &control) || (responded && errors.Is(err, os.ErrDeadlineExceeded)) {
-		// The instance responds, but does not apply the session, or has not done so in the time of the statement.
-		d.Observer.AbandonStatement(i)
-		d.Journal.Request("session-not-applied", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("values", len(u.SessionValues)), journaler.Err(err))
-		return nil, modeller.NewErrorResponse(modeller.Busy, err.Error())
-	}
-	var refusal *connector.Refusal
-	if errors.As(err, &refusal) {
-		d.Observer.EndStatement(d.Clock.Now(), d.Clock.Now(), i, modeller.Response{Result: refusal.Result})
-		return nil, modeller.NewErrorResponse(refusal.Result, refusal.Detail)
-	}
-	if errors.Is(err, connector.ErrNoConnection) {
-		d.handleNoConnection(pool, i)
-		st := pool.Stats()
-		d.Journal.Request("no-connection", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("open", st.Open), journaler.F("idle", st.Idle),
-			journaler.F("dialling", st.Dialling), journaler.F("waiting", st.Waiting), journaler.F("share", st.Share), journaler.F("full-times", st.ConsecutiveFull))
-		return nil, modeller.NewErrorResponse(modeller.ConnectionLimitReached, err.Error())
-	}
-	d.Observer.RecordFailure(d.Clock.Now(), i)
-	d.Journal.Request("instance-failed", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.Err(err))
-	return nil, modeller.NewErrorResponse(modeller.Busy, err.Error())
-}
-
-// handleNoConnection reports to the observer that no connection was free: either all
-// are in use, or the instance does not respond to dials.
-func (d *Dispatcher) handleNoConnection(pool *connector.Pool, i observer.Instance) {
-	now := d.Clock.Now()
-	if since, ok := pool.UnansweredSince(now); ok {
-		d.Observer.RecordSilence(now, since, i)
-		return
-	}
-	d.Observer.AbandonStatement(i)
-}
-
-// acquireDivisor divides the target latency of a route to give the time within which
-// a connection must be acquired before another instance is tried.
-const acquireDivisor = 2
-
-// prepareSession applies the session values and the prepared statement of a unit to
-// a connection to an instance.
-func (d *Dispatcher) prepareSession(ctx context.Context, u Unit, i observer.Instance, conn *connector.PooledConn) error {
-	if err := conn.ApplySession(ctx, u.SessionValues); err != nil {
-		return err
-	}
-	if u.Prepared == nil {
-		return nil
-	}
-	deallocated, err := conn.Prepare(ctx, u.Prepared.digest, u.Prepared.Writes, u.Prepared.Text)
-	if err != nil || deallocated > 0 {
-		d.Journal.Request("prepared", u.Statement.ID, journaler.Instance(i.ID), journaler.Group(i.Group), journaler.F("name", conn.PreparedName(u.Prepared.digest)),
-			journaler.F("writes", u.Prepared.Writes), journaler.F("bytes", len(u.Prepared.Text)), journaler.F("deallocated", deallocated), journaler.F("done", err == nil))
-	}
-	return err
-}
-
 // exchange sends a statement and reports the outcome to the observer.
 func (d *Dispatcher) exchange(ctx context.Context, u Unit, i observer.Instance, conn *connector.PooledConn, s modeller.Statement) (modeller.Response, error) {
 	if s.Kind == modeller.Execute {
@@ -180,45 +92,6 @@
 	return a, nil
 }
 
-// isUnsent reports whether an error means that nothing of a message was sent.
-func isUnsent(err error) bool {
-	var unsent *connector.EncodingError
-	return errors.As(err, &unsent)
-}
-
-// isUnservable reports whether an error lies in the caller's statement or session, so that no
-// instance can serve it.
-func isUnservable(err error) bool {
-	var refused *connector.StatementError
-	return isUnsent(err) || errors.As(err, &refused)
-}
-
-// retireLongNames retires a connection if a message of a prepared statement was too long for it: names on a
-// new connection are no longer than those of clients. The response lets the statement be tried again; nothing
-// ran.
-func (d *Dispatcher) retireLongNames(u Unit, i observer.Instance, conn *connector.PooledConn, err error) (a modeller.Response, retired bool) {
-	var unsent *connector.EncodingError
-	if u.Prepared == nil || conn.IsNew() || !errors.As(err, &unsent) || unsent.Code != coder.MessageTooLarge {
-		return a, false
-	}
-	conn.Retire()
-	d.Observer.AbandonStatement(i)
-	return modeller.NewErrorResponse(modeller.Busy, err.Error()), true
-}
-
-// abortUnservable returns the response to a statement that no instance can serve. Nothing ran.
-func (d *Dispatcher) abortUnservable(u Unit, i observer.Instance, err error) modeller.Response {
-	d.Observer.AbandonStatement(i)
-	code := coder.MessageUnsupported
-	var unsent *connector.EncodingError
-	if errors.As(err, &unsent) {
-		code = unsent.Code
-	}
-	d.Journal.Request("abort", u.Statement.ID, journaler.Code(code), journaler.Instance(i.ID), journaler.Group(i.Group),
-		journaler.Reason(err.Error()), journaler.F("kind", u.Statement.Kind))
-	return refuse(modeller.Aborted, code, err.Error())
-}
-
 // awaitKept waits until the log of the successor of a primary that acknowledged a commit of a term
 // at a position is known, and reports whether it contains the commit.
 func (d *Dispatcher) awaitKept(ctx context.Context, group string, term uint64, p tracker.Position) bool {
