fix: a restored store is watched from the revision of its list

Cause: after a restore from a copy revisions are lower, and a watch from a revision that the store does not have is answered at once with 410. The watcher went on from the highest revision that it had ever seen: list, 410, list, without a pause.

Change: a watch goes on from the revision of the last list.

Result: TestRestoredStoreIsWatchedFromItsRevision fails before (watched from 1000, 1000, 1000) and passes after (1000, 700, 701).

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -60,10 +60,13 @@
 	// OnStoreCall receives the error of each call, nil if the store responded.
 	OnStoreCall func(now time.Time, err error)
 
-	// listed reports that the changes after revision lead to the store's objects; otherwise
+	// listed reports that the changes after watched lead to the store's objects; otherwise
 	// the next call lists all objects.
-	listed    bool
-	revision  uint64
+	listed   bool
+	revision uint64
+	// watched is the revision after which the store is watched: lower than revision after the
+	// store was restored from a copy.
+	watched   uint64
 	suspended bool
 }
 
@@ -154,13 +157,13 @@
 		}
 		u := f.update(page)
 		u.Whole, u.Removed = true, nil
-		f.listed = true
+		f.listed, f.watched = true, page.Revision
 		f.Apply(u)
 		f.recordVerified(startedAt)
 		return nil
 	}
 	wait := f.Wait()
-	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
+	page, err := f.Store.Watch(ctx, f.Prefix, f.watched, wait)
 	if err != nil {
 		return err
 	}
@@ -168,6 +171,7 @@
 		f.listed = false
 		return nil
 	}
+	f.watched = max(f.watched, page.Revision)
 	f.Apply(f.update(page))
 	// A response that has been on its way for long is not taken for a later one.
 	f.recordVerified(timekeeper.Earlier(f.Clock.Now(), startedAt.Add(wait)))
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -222,3 +222,17 @@
 		})
 	}
 }
+
+// Guards against lists without a pause after the store was restored from a copy, whose revisions are lower: a
+// watch from a revision that it does not have is answered at once.
+func TestRestoredStoreIsWatchedFromItsRevision(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{
+		lists: []*keeper.Page{{Revision: 1000, Objects: []keeper.Object{object("k/a", 900)}}, {Revision: 700, Objects: []keeper.Object{object("k/a", 600)}},
+			{Revision: 700}, {Revision: 700}},
+		watches: []*keeper.Page{{TooOld: true}, {Revision: 701}},
+	}
+	_, _ = follow(t, s, nil)
+	g.Expect(s.listed).To(Equal(2))
+	g.Expect(s.watched[:3]).To(Equal([]uint64{1000, 700, 701}))
+}
