fix: VMs that do not respond are not sent the record of replacements

Cause: the VM that replaces primaries announces the record to each VM that has not acknowledged it, as the changes since the last acknowledgement. To the VMs of a lost zone these grow with each replacement: with 434 of 1,300 primaries lost, 571 messages to them were 3.6 of the 6.2 MB of records sent, 17,190 to all others 2.6 MB.

Change: a VM that left three announcements unanswered is asked for its record instead, at the same interval. Its response, which says what it knows, brings it the changes. When writes open is as before: all VMs have acknowledged the record or the time has passed.

--- a/renewer/announce.go
+++ b/renewer/announce.go
@@ -30,8 +30,9 @@
 }
 
 // acknowledgedTurn returns the turn of the record that all VMs have acknowledged, and sends the
-// latest record to those that have not acknowledged it. Concurrent announcements share a scan
-// of the VMs.
+// latest record to those that have not acknowledged it. A VM that does not respond is only asked
+// for the record that it knows: the changes that it lacks grow with each replacement. Concurrent
+// announcements share a scan of the VMs.
 func (v *Renewer) acknowledgedTurn(now time.Time) uint64 {
 	v.mu.Lock()
 	latest := v.record
@@ -52,8 +53,11 @@
 	v.scanned = scan{at: now, turn: latest.Writes, acknowledged: acknowledged}
 	v.mu.Unlock()
 	for _, p := range remaining {
-		if v.startAnnouncement(now, p, latest.Writes) {
+		switch v.startAnnouncement(now, p, latest.Writes) {
+		case sendRecord:
 			v.sendRecord(now, p)
+		case sendProbe:
+			v.sendRequest(now, p)
 		}
 	}
 	return acknowledged
@@ -67,10 +71,22 @@
 	turn, acknowledged uint64
 }
 
-// startAnnouncement reports whether to send a record to a VM: concurrent announcements of
-// the same or a later record share their messages, and records that follow each other closely
-// share one.
-func (v *Renewer) startAnnouncement(now time.Time, p gossiper.Peer, turn uint64) bool {
+// announcementKind is what to send to a VM that has not acknowledged a record.
+type announcementKind uint8
+
+// The kinds of announcements.
+const (
+	// sendNothing stands for nothing yet.
+	sendNothing announcementKind = iota
+	// sendRecord stands for the record.
+	sendRecord
+	// sendProbe stands for a request to a silent VM, whose response leads to the record.
+	sendProbe
+)
+
+// startAnnouncement returns what to send to a VM now: concurrent announcements of the same or a
+// later record share their messages, and records that follow each other closely share one.
+func (v *Renewer) startAnnouncement(now time.Time, p gossiper.Peer, turn uint64) announcementKind {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	a := v.announced[p.Name]
@@ -79,10 +95,13 @@
 		wait = minAnnounceInterval
 	}
 	if now.Sub(a.at) < wait {
-		return false
+		return sendNothing
 	}
 	v.announced[p.Name] = announcement{turn: turn, at: now, unanswered: min(a.unanswered+1, silentAfter)}
-	return true
+	if a.unanswered >= silentAfter {
+		return sendProbe
+	}
+	return sendRecord
 }
 
 const (
@@ -91,8 +110,8 @@
 	// minAnnounceInterval is the shortest interval between announcements of successive records
 	// to a VM.
 	minAnnounceInterval = announceInterval
-	// silentAfter is the number of unanswered announcements after which a VM is sent later
-	// records at longer intervals too.
+	// silentAfter is the number of unanswered announcements after which a VM counts as silent: it
+	// is asked at longer intervals, and sent no record until it responds.
 	silentAfter = 3
 	// maxAnnounceInterval is the longest interval between announcements to a silent VM.
 	maxAnnounceInterval = 400 * time.Millisecond
--- a/renewer/renewer_test.go
+++ b/renewer/renewer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,9 @@
 type vm struct {
 	// requests counts the requests that the VM has sent.
 	requests atomic.Int64
+	// receivedBytes counts the bytes of the requests to the VM, whether or not they arrive.
+	receivedBytes atomic.Int64
+
 	w        *cluster
 	n        int
 	isolated bool
@@ -84,6 +88,7 @@
 func (v *vm) SendRequest(to netip.AddrPort, _ gossiper.Topic, request []byte) {
 	v.requests.Add(1)
 	o := v.w.vms[to.Port()]
+	o.receivedBytes.Add(int64(len(request)))
 	v.w.group.Go(func() error {
 		time.Sleep(8 * time.Millisecond)
 		if v.reaches(o) {
@@ -281,3 +286,47 @@
 		}
 	})
 }
+
+// Guards against changes of the record that are sent again and again to VMs that do not respond,
+// as those of a lost availability zone, and grow with each replacement. A VM that responds again
+// must learn of the last record before its leases have expired.
+func TestSilentVMsAreNotSentTheRecord(t *testing.T) {
+	const vms, silent, records = 6, 3, 100
+	runCluster(t, vms, func(g *WithT, w *cluster) {
+		w.mu.Lock()
+		w.vms[silent].isolated = true
+		w.mu.Unlock()
+		r := leaser.Record{Holder: "vm-0", Token: 1, Superseded: map[string]uint64{}}
+		var group errgroup.Group
+		announce := func() {
+			r.Writes++
+			r.Superseded = maps.Clone(r.Superseded)
+			r.Superseded[fmt.Sprintf("group-%d", r.Writes)] = 1
+			began, announced := time.Now(), r
+			group.Go(func() error {
+				g.Expect(w.vms[0].voucher.Announce(context.Background(), began, announced)).To(BeTrue())
+				return nil
+			})
+		}
+		var before int64
+		for n := range records {
+			if n == records/5 {
+				before = w.vms[silent].receivedBytes.Load()
+			}
+			announce()
+			time.Sleep(50 * time.Millisecond)
+		}
+		bytes := w.vms[silent].receivedBytes.Load() - before
+		t.Logf("%d bytes to the silent VM in 4 s", bytes)
+		g.Expect(bytes).To(BeNumerically("<", 1000))
+		w.mu.Lock()
+		w.vms[silent].isolated = false
+		w.mu.Unlock()
+		announce()
+		began := time.Now()
+		time.Sleep(time.Second)
+		g.Expect(w.vms[silent].voucher.Record().Writes).To(Equal(r.Writes))
+		g.Expect(group.Wait()).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", observer.ViewLease))
+	})
+}
