fix: shares of a rate are agreed by pairs of VMs

Cause: a VM that is cut off divided the rate by its own demand of now and by what the others had reported before the cut, for up to 20 s. With three of nine VMs cut off the shares came to 1.79 in total.

Change: reports of demand are numbered, and messages confirm them. Of two VMs each counts the other by its last report and itself by the least since the report that the other has confirmed. A ratio in a VM's favour holds for 3 s from that report; after that both take 1. The sum of 1/(1+ratios) is at most 1 whatever is lost or late. A demand counts as 1/16 of the rate at least (instead of an even part of 0.15), and a change of less than a half is not reported. VMs of the former version confirm nothing and are shared with evenly.

The fleet of throttler_test.go now passes on who has confirmed what; its bounds are as before.

--- a/assembler/gossip.go
+++ b/assembler/gossip.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -20,9 +21,6 @@
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
-// demandScale converts operations per second to the unit of a message.
-const demandScale = 100
-
 // gossipDependencies are the dependencies of a gossipHandler.
 type gossipDependencies struct {
 	dig.In
@@ -61,27 +59,49 @@
 
 // compose returns this VM's message for an audience.
 func (n *gossipHandler) compose(now time.Time, to gossiper.Audience) gossiper.Message {
-	n.divideShares(now)
+	demand, report := map[string]uint32{}, uint32(0)
+	if to == gossiper.ToAll {
+		demand, report = n.reportDemand(now)
+	}
+	// A lower demand is in force here before others hear of it.
+	peers := n.divideShares(now)
 	// The versions are read after the times as of which they are verified.
 	verifiedAge, listVerifiedAge := n.Verifiers.configuration.Age(now), n.Verifiers.instances.Age(now)
 	m := gossiper.Message{
 		Name: n.settings.VM.ID, AvailabilityZone: n.settings.VM.AvailabilityZone, Address: n.settings.Listen.Peers, Incarnation: n.State.incarnation,
-		Leaving: n.Sessions.Leaving(), StoreUnreachable: n.State.storeUnreachable.Load(), Demand: map[string]uint32{},
+		Leaving: n.Sessions.Leaving(), StoreUnreachable: n.State.storeUnreachable.Load(), Demand: demand, Report: report, Confirmed: confirmedReports(peers),
 		ListRevision: n.State.listingChange.Load(), ListFresh: n.State.watchesStore.Load() && !n.State.storeUnreachable.Load(),
 	}
 	m.Capacity = n.settings.VM.CapacityClass()
 	m.VerifiedAge, m.ListVerifiedAge = max(verifiedAge, gossiper.MinVerifiedAge), max(listVerifiedAge, gossiper.MinVerifiedAge)
 	m.Version, m.SkipsVotes = n.Catalogue.Version(), !n.State.standby.Load()
-	if to == gossiper.ToAll {
-		for organisation, demand := range n.Sharer.SnapshotDemand(now) {
-			m.Demand[organisation] = uint32(demand * demandScale)
-		}
-	}
 	groups := n.groups(now, to == gossiper.ToAll || to == gossiper.ToNewVM)
 	m.Groups, m.Votes = n.publisher.Select(now, to, groups), publisher.Votes(groups)
 	return m
 }
 
+// reportDemand returns the demand at this VM in the unit of a message, and the number of the
+// report.
+func (n *gossipHandler) reportDemand(now time.Time) (demand map[string]uint32, number uint32) {
+	measured, number := n.Sharer.SnapshotDemand(now)
+	demand = make(map[string]uint32, len(measured))
+	for organisation, d := range measured {
+		demand[organisation] = uint32(math.Round(d / throttler.DemandUnit))
+	}
+	return demand, number
+}
+
+// confirmedReports returns the numbers of the reports of other processes, by process.
+func confirmedReports(peers []throttler.Peer) map[uint32]uint32 {
+	out := make(map[uint32]uint32, len(peers))
+	for _, p := range peers {
+		if p.Report > 0 {
+			out[p.Process] = p.Report
+		}
+	}
+	return out
+}
+
 // groups returns what this VM may publish of all groups, or of those that it may have to
 // publish to VMs that know the others.
 func (n *gossipHandler) groups(now time.Time, all bool) []publisher.Group {
@@ -191,8 +211,9 @@
 // fleetLogInterval is the least interval between two log lines about the fleet.
 const fleetLogInterval = time.Second
 
-// divideShares divides rates and connections among the VMs of the fleet.
-func (n *gossipHandler) divideShares(now time.Time) {
+// divideShares divides rates and connections among the VMs of the fleet. In a small fleet, it
+// returns the reports that it takes account of.
+func (n *gossipHandler) divideShares(now time.Time) []throttler.Peer {
 	silent, ok := n.gossiper.ExpectedVMs(now)
 	if !ok {
 		silent = throttler.AssumedSilentVMs
@@ -213,7 +234,7 @@
 			journaler.F("speaks", n.gossiper.IsRelay(now)))
 	}
 	if same {
-		return
+		return nil
 	}
 	peers := make([]throttler.Peer, known)
 	if !large {
@@ -222,18 +243,21 @@
 	heard := float64(alive+1) / float64(known+silent+1)
 	n.Sharer.SetPeers(now, peers, silent, heard, large, func(organisation string) float64 { return n.Borrower.LendingFraction(now, organisation) })
 	n.Dispatcher.UpdateBounds()
+	return peers
 }
 
 // peerDemands returns the demand at each other VM of a small fleet.
 func (n *gossipHandler) peerDemands(now time.Time) []throttler.Peer {
 	known := n.gossiper.Known(now)
+	self := gossiper.Message{Name: n.settings.VM.ID, Incarnation: n.State.incarnation}
+	process := self.ProcessID()
 	peers := make([]throttler.Peer, 0, len(known))
 	for _, p := range known {
 		demand := make(map[string]float64, len(p.Demand))
 		for organisation, d := range p.Demand {
-			demand[organisation] = float64(d) / demandScale
+			demand[organisation] = float64(d) * throttler.DemandUnit
 		}
-		peers = append(peers, throttler.Peer{Name: p.Name, Demand: demand})
+		peers = append(peers, throttler.Peer{Name: p.Name, Process: p.ProcessID(), Report: p.Report, Confirmed: p.Confirmed[process], Demand: demand})
 	}
 	return peers
 }
--- a/gossiper/compact_message.go
+++ b/gossiper/compact_message.go
@@ -15,6 +15,9 @@
 	// VerifiedAge and ListVerifiedAge are in units of verifiedAgeUnit, rounded up.
 	VerifiedAge     uint64 `cbor:"5,keyasint,omitempty"`
 	ListVerifiedAge uint64 `cbor:"6,keyasint,omitempty"`
+
+	Report    uint32            `cbor:"7,keyasint,omitempty"`
+	Confirmed map[uint32]uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // verifiedAgeUnit is the resolution of verified ages in a compact message, and maxVerifiedAge
@@ -38,6 +41,7 @@
 func (m *Message) compact() compactMessage {
 	c := compactMessage{
 		Sequence: m.Sequence, Version: m.Version, Demand: m.Demand, VerifiedAge: compactAge(m.VerifiedAge), ListVerifiedAge: compactAge(m.ListVerifiedAge),
+		Report: m.Report, Confirmed: m.Confirmed,
 	}
 	for _, s := range m.Groups {
 		c.Groups = append(c.Groups, s.compact())
@@ -48,7 +52,7 @@
 // message returns the whole message of the VM with a profile.
 func (c *compactMessage) message(p *profile) Message {
 	m := p.message()
-	m.Sequence, m.Version, m.Demand = c.Sequence, c.Version, c.Demand
+	m.Sequence, m.Version, m.Demand, m.Report, m.Confirmed = c.Sequence, c.Version, c.Demand, c.Report, c.Confirmed
 	m.VerifiedAge, m.ListVerifiedAge = verifiedAge(c.VerifiedAge), verifiedAge(c.ListVerifiedAge)
 	for _, s := range c.Groups {
 		m.Groups = append(m.Groups, s.status())
--- a/gossiper/compact_message_test.go
+++ b/gossiper/compact_message_test.go
@@ -27,3 +27,19 @@
 		g.Expect(got.ListVerifiedAge).To(BeNumerically(">=", min(2*tt.age, time.Hour)))
 	}
 }
+
+// Guards against reports of demand that are confirmed to another process, or not at all: a VM
+// would count itself for more than the others count it.
+func TestReportsInCompactMessages(t *testing.T) {
+	g := NewWithT(t)
+	m := Message{Name: "a", Incarnation: 3, Demand: map[string]uint32{"o": 250}, Report: 7, Confirmed: map[uint32]uint32{11: 4, 12: 9}}
+	p, c := m.profile(), m.compact()
+	got := c.message(&p)
+	g.Expect(got.Report).To(Equal(m.Report))
+	g.Expect(got.Confirmed).To(Equal(m.Confirmed))
+	g.Expect(got.Demand).To(Equal(m.Demand))
+	g.Expect(got.ProcessID()).To(Equal(m.ProcessID()))
+	for _, other := range []Message{{Name: "a", Incarnation: 4}, {Name: "b", Incarnation: 3}} {
+		g.Expect(other.ProcessID()).NotTo(Equal(m.ProcessID()))
+	}
+}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"net/netip"
 	"time"
 
@@ -51,6 +53,11 @@
 	// Demand is the rate of operations requested by each organisation, in hundredths
 	// of an operation per second.
 	Demand map[string]uint32 `cbor:"8,keyasint,omitempty"`
+	// Report is the number of the report of demand, zero for none, and Confirmed holds
+	// the numbers of the reports of other processes that the VM has taken account of, by the
+	// ID of the process.
+	Report    uint32            `cbor:"17,keyasint,omitempty"`
+	Confirmed map[uint32]uint32 `cbor:"18,keyasint,omitempty"`
 	// StoreUnreachable reports that the VM cannot reach the platform's store.
 	StoreUnreachable bool `cbor:"9,keyasint,omitempty"`
 
@@ -81,6 +88,13 @@
 	FullState bool `cbor:"-"`
 }
 
+// ProcessID identifies the process of the VM that sent the message among those of the fleet.
+func (m *Message) ProcessID() uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(m.Name), m.Incarnation))
+	return h.Sum32()
+}
+
 // MinVerifiedAge is the least VerifiedAge and ListVerifiedAge of a message.
 const MinVerifiedAge = time.Millisecond
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -3,16 +3,18 @@
 //
 // A fraction of each rate is split: every VM reports the demand of each
 // organisation to the others, and its share is its proportion of the total
-// demand. A silent VM keeps the share that it was last known to have until it is
-// known to be gone. The rest of the rate is held by one VM of each region, the
-// lenders, and lent token by token to VMs that have none left, so that the rate
-// of a small organisation is not spread over buckets of one token. A lender that
-// hears only some of the VMs lends in proportion to their number, so lenders that
-// do not hear each other never lend more than that rest in total. In a large fleet
-// nothing is split, and the whole rate is lent.
+// demand. Two VMs agree on the ratio of their demands by confirming the reports, and
+// share evenly while they are not in touch. So the shares never exceed the split
+// fraction in total, whichever VMs are cut off from which. The rest of the rate is
+// held by one VM of each region, the lenders, and lent token by token to VMs that
+// have none left, so that the rate of a small organisation is not spread over buckets
+// of one token. A lender that hears only some of the VMs lends in proportion to their
+// number, so lenders that do not hear each other never lend more than that rest in
+// total. In a large fleet nothing is split, and the whole rate is lent.
 package throttler
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -26,13 +28,18 @@
 	// lentFraction is the fraction of a rate that is lent: small enough for the split
 	// fraction to suffice while the lenders are silent.
 	lentFraction = 0.6
-	// evenFraction is the fraction of the split rate that is shared evenly regardless
-	// of demand, so that the first requests at another VM need not wait until the
-	// demand is exchanged.
-	evenFraction = 0.15
+	// floorFraction is the fraction of a rate that counts as demand at each VM, at least, so
+	// that the first requests at another VM need not wait until the demand is exchanged, and
+	// that the ratio of two small demands stays bounded.
+	floorFraction = 1.0 / 16
+	// reportTolerance is the relative change of a demand from which on it is reported: a
+	// demand that varies by chance around its mean would be counted by its lowest value.
+	reportTolerance = 0.5
 	// initialBurstFraction is the fraction of its burst with which a process starts:
 	// other processes may have used the burst just before.
 	initialBurstFraction = 0.5
+	// DemandUnit is the unit of reported demand, in operations per second.
+	DemandUnit = 0.01
 	// AssumedSilentVMs is the number of other VMs that are assumed to exist and to be
 	// silent until the fleet is known.
 	AssumedSilentVMs = 31
@@ -42,8 +49,7 @@
 type Throttler struct {
 	mu              sync.Mutex
 	organisations   map[string]*organisationState
-	reported        map[string]float64
-	peers           []Peer
+	agreement       agreement
 	silentVMs       int
 	lendingFraction func(organisation string) float64
 	heardFraction   float64
@@ -52,11 +58,13 @@
 
 // organisationState is the rate limiting state of one organisation.
 type organisationState struct {
-	total      limiter.Limit
-	split      *limiter.Bucket
-	lent       *limiter.Bucket
-	share      float64
-	demand     float64
+	total  limiter.Limit
+	split  *limiter.Bucket
+	lent   *limiter.Bucket
+	share  float64
+	demand float64
+	// reported is the demand in the last report, or zero if it counts as none.
+	reported   float64
 	measuredAt time.Time
 	requested  int
 	// admitted and refused count operations for the metrics.
@@ -65,7 +73,7 @@
 
 // New returns a Throttler without organisations.
 func New() *Throttler {
-	return &Throttler{organisations: map[string]*organisationState{}, reported: map[string]float64{}, silentVMs: AssumedSilentVMs}
+	return &Throttler{organisations: map[string]*organisationState{}, silentVMs: AssumedSilentVMs}
 }
 
 // SetLimits sets the limits of organisations that are new or changed, and forgets the
@@ -88,17 +96,18 @@
 }
 
 // SetPeers updates the demand reported by the other VMs and recomputes the
-// shares. Each silent VM is left an even share, which it may be using. The
-// fraction of all VMs that was heard recently, heardFraction, bounds what this VM
-// lends. lendingFraction returns the fraction of the lent part of a rate that this VM lends: 0
-// unless it is a lender.
+// shares. Each silent VM, from which nothing was received so far, is left an even
+// share, which it may be using. The fraction of all VMs that was heard recently,
+// heardFraction, bounds what this VM lends. lendingFraction returns the fraction of the
+// lent part of a rate that this VM lends: 0 unless it is a lender.
 //
 // In a large fleet, a rate is lent as a whole: an even split of a small rate among
 // hundreds of VMs would be too small to serve any of them.
 func (t *Throttler) SetPeers(now time.Time, peers []Peer, silent int, heardFraction float64, largeFleet bool, lendingFraction func(organisation string) float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers, t.silentVMs, t.heardFraction, t.largeFleet, t.lendingFraction = peers, silent, heardFraction, largeFleet, lendingFraction
+	t.silentVMs, t.heardFraction, t.largeFleet, t.lendingFraction = silent, heardFraction, largeFleet, lendingFraction
+	t.agreement.setPeers(now, peers)
 	t.divide(now)
 }
 
@@ -112,21 +121,11 @@
 // divideOne recomputes this VM's share of the rate of an organisation. The caller holds the
 // lock.
 func (t *Throttler) divideOne(now time.Time, name string, o *organisationState) {
-	heard := float64(len(t.peers) + 1)
-	heardPart := heard / (heard + float64(t.silentVMs))
-	totalDemand := t.reported[name]
-	if t.largeFleet {
-		totalDemand = 0
-	}
-	for _, p := range t.peers {
-		if !t.largeFleet {
-			totalDemand += p.Demand[name]
-		}
-	}
-	o.share = heardPart / heard
-	if totalDemand > 0 {
-		o.share = heardPart * (evenFraction/heard + (1-evenFraction)*t.reported[name]/totalDemand)
+	ratios := float64(len(t.agreement.pairs))
+	if !t.largeFleet {
+		ratios = t.agreement.ratios(name, o.demandFloor())
 	}
+	o.share = 1 / (1 + ratios + float64(t.silentVMs))
 	t.setLent(now, name, o)
 	limit := o.total.Scale((1 - t.lentFractionInForce()) * o.share)
 	if !t.largeFleet {
@@ -181,21 +180,36 @@
 	return o.lent.Reserve(now, maxWait)
 }
 
-// SnapshotDemand returns the demand of each organisation, to be sent to the other VMs.
+// SnapshotDemand returns the demand of each organisation, to be sent to the other VMs, and
+// the number of the report, which they return once they take account of it.
 //
 // The shares are computed from the reported demand and not from later
-// measurements, so that all VMs divide the rates by the same figures.
-func (t *Throttler) SnapshotDemand(now time.Time) map[string]float64 {
+// measurements, so that all VMs divide the rates by the same figures. They are in force
+// from the next call of SetPeers on, which must precede the sending of the report.
+func (t *Throttler) SnapshotDemand(now time.Time) (demand map[string]float64, number uint32) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reported = map[string]float64{}
+	demand = map[string]float64{}
 	for name, o := range t.organisations {
 		o.measure(now)
-		if o.demand > 0.01 {
-			t.reported[name] = o.demand
+		o.updateReported()
+		if o.reported > 0 {
+			demand[name] = o.reported
 		}
 	}
-	return t.reported
+	return demand, t.agreement.report(now, demand)
+}
+
+// updateReported updates the demand to report, unless it has hardly changed.
+func (o *organisationState) updateReported() {
+	if math.Abs(o.demand-o.reported) >= reportTolerance*max(o.reported, o.demandFloor()) {
+		o.reported = math.Floor(o.demand/DemandUnit) * DemandUnit
+	}
+}
+
+// demandFloor returns the demand that counts at each VM, at least.
+func (o *organisationState) demandFloor() float64 {
+	return max(o.total.Rate*floorFraction, DemandUnit)
 }
 
 // measure updates the demand average.
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,12 +18,21 @@
 
 // fleet is a set of VMs that exchange their demand every half second.
 type fleet struct {
-	now      time.Time
-	vms      []*throttler.Throttler
-	reported []map[string]float64
-	heard    []bool
-	limit    limiter.Limit
-	large    bool
+	now   time.Time
+	vms   []*throttler.Throttler
+	heard []bool
+	limit limiter.Limit
+	large bool
+	// reports holds the last report of each VM, and confirmed the reports that each VM has
+	// taken account of, by its index and that of the other VM.
+	reports   []report
+	confirmed [][]uint32
+}
+
+// report is the demand that a process has reported.
+type report struct {
+	process, number uint32
+	demand          map[string]float64
 }
 
 const (
@@ -33,7 +43,9 @@
 )
 
 func newFleet(n int, limit limiter.Limit) *fleet {
-	f := &fleet{now: start, vms: make([]*throttler.Throttler, n), reported: make([]map[string]float64, n), heard: make([]bool, n), limit: limit}
+	f := &fleet{
+		now: start, vms: make([]*throttler.Throttler, n), heard: make([]bool, n), limit: limit, reports: make([]report, n), confirmed: make([][]uint32, n),
+	}
 	for i := range n {
 		f.restart(i)
 		f.heard[i] = true
@@ -45,7 +57,13 @@
 func (f *fleet) restart(i int) {
 	f.vms[i] = throttler.New()
 	f.vms[i].SetLimits(f.now, map[string]limiter.Limit{organisation: f.limit})
-	f.reported[i] = map[string]float64{}
+	f.reports[i] = report{process: f.reports[i].process + 1}
+	f.confirmed[i] = make([]uint32, len(f.vms))
+	for _, c := range f.confirmed {
+		if c != nil {
+			c[i] = 0
+		}
+	}
 }
 
 // run simulates a number of steps in which demand(i) operations per second are
@@ -72,16 +90,18 @@
 // exchange exchanges the demand between the VMs.
 func (f *fleet) exchange() {
 	for i, vm := range f.vms {
-		f.reported[i] = vm.SnapshotDemand(f.now)
+		f.reports[i].demand, f.reports[i].number = vm.SnapshotDemand(f.now)
 	}
 	for i, vm := range f.vms {
 		var peers []throttler.Peer
 		silent := 0
-		for j, demand := range f.reported {
+		for j, r := range f.reports {
 			switch {
 			case i == j:
 			case f.heard[j]:
-				peers = append(peers, throttler.Peer{Demand: demand})
+				peers = append(peers, throttler.Peer{
+					Name: strconv.Itoa(j), Process: r.process, Report: r.number, Confirmed: f.confirmed[j][i], Demand: r.demand,
+				})
 			default:
 				silent++
 			}
@@ -94,6 +114,13 @@
 			return 0
 		})
 	}
+	for i := range f.vms {
+		for j, r := range f.reports {
+			if f.heard[j] {
+				f.confirmed[i][j] = r.number
+			}
+		}
+	}
 }
 
 // lender returns the lender from the view of VM i: the first VM that it hears.
