fix: keys of the messages between VMs are distinct

Cause: two changes gave the same key to fields of a message (the mark of VMs that merge contested groups, and the number of a report of demand). The encoder leaves both out without an error.

--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -74,7 +74,7 @@
 
 	// MergesContested reports that the VM reads digests with Digest.PartialContested. The Gossiper
 	// sets it.
-	MergesContested bool `cbor:"17,keyasint,omitempty"`
+	MergesContested bool `cbor:"19,keyasint,omitempty"`
 
 	// Votes are the states of the groups that count as votes of this VM. Nil stands for
 	// those in Groups.
