--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/review-standin-2 ] && [ -x target/marigoldgauge-platform ] || { echo "build the project and run review/build-2.sh first"; exit 2; }
-timeout 110 target/review-standin-2 -case revoked-key -program "$PWD/target/marigoldgauge-platform" -record review/7/record.txt -trouble="$trouble"
+timeout 110 target/review-standin-2 -case revoked-key -program "$PWD/target/marigoldgauge-platform" -record review/8/record.txt -trouble="$trouble"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
