feat: outcomes of unanswered writes of the lease are logged and counted

Cause: a write of the lease that gets no response is resolved by reading the lease back, and nothing said what that showed. The record in the store did not name the attempt that wrote it either, so that logs could not tell a write that was taken for done from one that was.

Change: each attempt of a process has a number, which is part of the record. lease-write-unanswered states the attempt, the outcome and the attempt that the store holds; lease_writes_unanswered_total counts by outcome. The decisions are as before. The dependencies of a Leaser are a struct, as in the other packages.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -163,8 +163,8 @@
 const leaseKey = "marigoldgauge-duties/replace-primaries"
 
 // newLeaser returns the leaser of the lease for replacing primaries.
-func newLeaser(p Dependencies, s *state) *leaser.Leaser {
-	return leaser.New(p.Adapter.Store(), p.Clock, leaseKey, p.Settings.VM.ID, s.incarnation, p.Settings.Lease)
+func newLeaser(p Dependencies, j *journaler.Journaler, s *state) *leaser.Leaser {
+	return leaser.New(leaser.Dependencies{Store: p.Adapter.Store(), Key: leaseKey, Clock: p.Clock, Journal: j, Holder: p.Settings.VM.ID, Incarnation: s.incarnation, Duration: p.Settings.Lease})
 }
 
 // newGossiper returns a gossiper that publishes the state of this process and passes
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -59,7 +59,7 @@
 func (p *Proxy) platformSamples(now time.Time) []measurer.Sample {
 	calls := p.Parts.Adapter.Store().Calls()
 	accepted, failed := p.Switcher.Promotions()
-	return []measurer.Sample{
+	out := []measurer.Sample{
 		gauge(boolValue(p.State.storeUnreachable.Load()), "store_lost"),
 		gauge(boolValue(p.State.watchesStore.Load()), "store_watched"),
 		gauge(p.State.storeSilence(now).Seconds(), "store_answer_age_seconds"),
@@ -70,6 +70,10 @@
 		counter(accepted, "promotions_total{result=%q}", "accepted"),
 		counter(failed, "promotions_total{result=%q}", "failed"),
 	}
+	for outcome, n := range p.Leaser.Outcomes() {
+		out = append(out, counter(n, "lease_writes_unanswered_total{outcome=%q}", outcome.String()))
+	}
+	return out
 }
 
 // instanceSamples returns the metrics of the instances and their connection pools.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -17,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldgauge/marigoldgauge/keeper"
-	"github.com/marigoldgauge/marigoldgauge/timekeeper"
 )
 
 // ErrHeld means that another VM holds the lease or may still hold it.
@@ -25,12 +24,7 @@
 
 // Leaser acquires one lease on behalf of one process. It is safe for concurrent use.
 type Leaser struct {
-	store       Store
-	clock       timekeeper.Clock
-	key         string
-	holder      string
-	incarnation uint64
-	lease       time.Duration
+	Dependencies
 	// writing is full while a batch is written.
 	writing chan struct{}
 
@@ -43,15 +37,19 @@
 	restored bool
 	// nextBatch collects the changes that are written next; nil if there are none.
 	nextBatch *batch
-	record    Record
-	version   string
-	since     time.Time
-	heard     observation
+	// attempts counts the attempts to write the lease.
+	attempts uint64
+	record   Record
+	version  string
+	since    time.Time
+	heard    observation
+
+	outcomes outcomeCounts
 }
 
-// New returns a Leaser that acquires the lease stored under key for a holder.
-func New(s Store, c timekeeper.Clock, key, holder string, incarnation uint64, lease time.Duration) *Leaser {
-	return &Leaser{store: s, clock: c, key: key, holder: holder, incarnation: incarnation, lease: lease, writing: make(chan struct{}, 1)}
+// New returns a Leaser that does not know the lease yet.
+func New(p Dependencies) *Leaser {
+	return &Leaser{Dependencies: p, writing: make(chan struct{}, 1)}
 }
 
 // LastKnown returns the lease as last read or written.
@@ -64,8 +62,8 @@
 // Read reads the lease and returns it with the time before the read. Reading it
 // early starts the count of its age before a takeover needs it.
 func (l *Leaser) Read(ctx context.Context) (Record, time.Time, error) {
-	sent := l.clock.Now()
-	o, err := l.store.Get(ctx, l.key)
+	sent := l.Clock.Now()
+	o, err := l.Store.Get(ctx, l.Key)
 	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
 		return Record{}, sent, err
 	}
@@ -105,7 +103,7 @@
 	var r Record
 	if o.Version != "" {
 		if err := json.Unmarshal(o.Value, &r); err != nil {
-			return eris.Wrapf(err, "decoding the lease %s", l.key)
+			return eris.Wrapf(err, "decoding the lease %s", l.Key)
 		}
 	}
 	restored := r.Writes < l.latest.Writes
@@ -159,10 +157,10 @@
 	if err != nil {
 		return Grant{}, eris.Wrap(err, "encoding the lease")
 	}
-	sent := l.clock.Now()
-	version, err := l.store.Put(ctx, l.key, value, cond)
+	sent := l.Clock.Now()
+	version, err := l.Store.Put(ctx, l.Key, value, cond)
 	if err != nil {
-		return l.resolve(ctx, sent, next, err)
+		return l.resolve(ctx, sent, next, cond.Version, err)
 	}
 	return l.grant(sent, next, version), nil
 }
@@ -171,31 +169,42 @@
 func (l *Leaser) next(changes []func(r *Record)) (Record, keeper.Condition, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.record.Holder != "" && l.record.Holder != l.holder && l.clock.Now().Sub(l.since) < l.lease {
+	if l.record.Holder != "" && l.record.Holder != l.Holder && l.Clock.Now().Sub(l.since) < l.Duration {
 		return Record{}, keeper.Condition{}, ErrHeld
 	}
 	next := l.record.clone()
-	if next.Holder != l.holder || next.Incarnation != l.incarnation {
-		next.Holder, next.Incarnation = l.holder, l.incarnation
+	if next.Holder != l.Holder || next.Incarnation != l.Incarnation {
+		next.Holder, next.Incarnation = l.Holder, l.Incarnation
 		next.Token++
 	}
 	next.Writes++
+	l.attempts++
+	next.Attempt = l.attempts
 	for _, change := range changes {
 		change(&next)
 	}
 	return next, keeper.Condition{Absent: l.version == "", Version: l.version}, nil
 }
 
-// resolve reads the lease to find out whether a failed write took effect.
-func (l *Leaser) resolve(ctx context.Context, sent time.Time, written Record, cause error) (Grant, error) {
+// resolve reads the lease to find out whether a write without a usable response took effect. based is
+// the version that it was based on. The record of an earlier attempt of this process, which takes
+// effect late, shares the holder and the count of writes, but not the number of the attempt.
+func (l *Leaser) resolve(ctx context.Context, sent time.Time, written Record, based string, cause error) (Grant, error) {
 	if _, _, err := l.Read(ctx); err != nil {
+		l.recordOutcome(Unread, written, Record{}, cause)
 		return Grant{}, eris.Wrapf(cause, "writing the lease has an unknown outcome; reading it back failed: %s", err)
 	}
 	l.mu.Lock()
-	r, version := l.record, l.version
+	stored, version := l.record, l.version
 	l.mu.Unlock()
-	if r.Holder == written.Holder && r.Incarnation == written.Incarnation && r.Writes == written.Writes {
+	switch {
+	case stored.Holder == written.Holder && stored.Incarnation == written.Incarnation && stored.Writes == written.Writes:
+		l.recordOutcome(Written, written, stored, cause)
 		return l.grant(sent, written, version), nil
+	case version == based:
+		l.recordOutcome(Pending, written, stored, cause)
+	default:
+		l.recordOutcome(Overtaken, written, stored, cause)
 	}
 	if errors.Is(cause, keeper.ErrConflict) {
 		return Grant{}, ErrHeld
@@ -209,5 +218,5 @@
 	defer l.mu.Unlock()
 	l.record, l.latest, l.version, l.since, l.restored = r, r, version, sent, false
 	// The last quarter of the lease covers an action in flight when the grant expires.
-	return Grant{Holder: l.holder, Token: r.Token, ExpiresAt: sent.Add(l.lease * 3 / 4)}
+	return Grant{Holder: l.Holder, Token: r.Token, ExpiresAt: sent.Add(l.Duration * 3 / 4)}
 }
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/keeper"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
 	"github.com/marigoldgauge/marigoldgauge/timekeeper"
@@ -28,16 +29,32 @@
 	revision     uint64
 	loseResponse bool
 	loseRequest  bool
+	// postpone keeps writes for later, without a response.
+	postpone  bool
+	postponed []func()
+	// onGet, if set, is called while a read is in progress, after it took place if read is set.
+	onGet func(read bool)
 }
 
 func (s *store) Get(context.Context, string) (keeper.Object, error) {
-	if s.object.Version == "" {
+	if s.onGet != nil {
+		s.onGet(false)
+	}
+	o := s.object
+	if s.onGet != nil {
+		s.onGet(true)
+	}
+	if o.Version == "" {
 		return keeper.Object{}, keeper.ErrNotFound
 	}
-	return s.object, nil
+	return o, nil
 }
 
-func (s *store) Put(_ context.Context, key string, value []byte, cond keeper.Condition) (string, error) {
+func (s *store) Put(ctx context.Context, key string, value []byte, cond keeper.Condition) (string, error) {
+	if s.postpone {
+		s.postponed = append(s.postponed, func() { _, _ = s.Put(ctx, key, value, cond) })
+		return "", eris.New("no response")
+	}
 	if s.loseRequest {
 		s.loseRequest = false
 		return "", eris.New("the request was lost")
@@ -68,9 +85,19 @@
 }
 
 func (w *fixture) newLeaser(name string, incarnation uint64) *leaser.Leaser {
-	return leaser.New(w.store, timekeeper.ClockFunc(func() time.Time { return w.now }), key, name, incarnation, lease)
+	return leaser.New(dependencies(w.store, timekeeper.ClockFunc(func() time.Time { return w.now }), name, incarnation))
 }
 
+// dependencies returns the dependencies of a leaser.
+func dependencies(s leaser.Store, c timekeeper.Clock, name string, incarnation uint64) leaser.Dependencies {
+	return leaser.Dependencies{Store: s, Key: key, Clock: c, Journal: journal{}, Holder: name, Incarnation: incarnation, Duration: lease}
+}
+
+// journal discards what is logged.
+type journal struct{}
+
+func (journal) LogStateChange(string, ...journaler.Field) {}
+
 func TestHolderChangesAfterLeaseExpires(t *testing.T) {
 	g := NewWithT(t)
 	w := newFixture()
@@ -240,7 +267,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := &slowStore{store: &store{}}
-		l := leaser.New(s, timekeeper.ClockFunc(time.Now), key, "a", 1, lease)
+		l := leaser.New(dependencies(s, timekeeper.ClockFunc(time.Now), "a", 1))
 		var group errgroup.Group
 		const groups = 200
 		for n := range groups {
@@ -265,7 +292,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := &slowStore{store: &store{}}
-		l := leaser.New(s, timekeeper.ClockFunc(time.Now), key, "a", 1, lease)
+		l := leaser.New(dependencies(s, timekeeper.ClockFunc(time.Now), "a", 1))
 		var group errgroup.Group
 		group.Go(func() error {
 			_, err := l.Acquire(t.Context(), nil)
--- a/leaser/record.go
+++ b/leaser/record.go
@@ -12,6 +12,9 @@
 	Token uint64 `json:"token"`
 	// Writes counts the writes of the lease, so that each renewal changes the object.
 	Writes uint64 `json:"turn"`
+	// Attempt is the number of the attempt of the holder's process that wrote the record, so that no
+	// two attempts write the same record, whichever of them take effect and when.
+	Attempt uint64 `json:"attempt,omitempty"`
 	// Superseded holds, by group, the latest term that a holder began to replace.
 	// VMs that read it stop confirming the primary of that term.
 	Superseded map[string]uint64 `json:"superseded,omitempty"`
@@ -20,6 +23,12 @@
 	Opened map[string]uint64 `json:"opened,omitempty"`
 }
 
+// Equal reports whether two records are the same.
+func (r Record) Equal(o Record) bool {
+	return r.Holder == o.Holder && r.Incarnation == o.Incarnation && r.Token == o.Token && r.Writes == o.Writes && r.Attempt == o.Attempt &&
+		maps.Equal(r.Superseded, o.Superseded) && maps.Equal(r.Opened, o.Opened)
+}
+
 // clone returns a deep copy whose maps are not nil.
 func (r Record) clone() Record {
 	r.Superseded, r.Opened = maps.Clone(r.Superseded), maps.Clone(r.Opened)
