fix: the age of the lease counts from the answer of a read

A VM that reads the lease counted its age from when the read was sent. The holder may renew the lease after that and before the store carries the read out. If the answer takes longer than a quarter of the lease, the other VM takes it while the grant of the holder is valid, and two VMs replace primaries.

Change: the age counts from the response, by which the version that it returns had been written. The time as of which a record is valid for the view leases stays the time before the read.

Result: TestAgeCountsFromTheAnswerOfARead fails before ("Expected an error, got nil": the second VM gets the lease beside a valid grant) and passes after; go test ./leaser passes.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -60,14 +60,15 @@
 }
 
 // Read reads the lease and returns it with the time before the read. Reading it
-// early starts the count of its age before a takeover needs it.
+// early starts the count of its age before a takeover needs it. The age counts from the
+// response: the holder may have written the lease after the read was sent.
 func (l *Leaser) Read(ctx context.Context) (Record, time.Time, error) {
 	sent := l.Clock.Now()
 	o, err := l.Store.Get(ctx, l.Key)
 	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
 		return Record{}, sent, err
 	}
-	if err := l.update(sent, o); err != nil {
+	if err := l.update(l.Clock.Now(), o); err != nil {
 		return Record{}, sent, err
 	}
 	return l.LastKnown(), sent, nil
--- a/leaser/unanswered_test.go
+++ b/leaser/unanswered_test.go
@@ -62,3 +62,31 @@
 		})
 	}
 }
+
+// Guards against a second holder while the grant of the first one is valid, because a read is answered late: the
+// lease was renewed after the read was sent, and counts as seen since then.
+func TestAgeCountsFromTheAnswerOfARead(t *testing.T) {
+	const late = lease * 2 / 5
+	g := NewWithT(t)
+	w := newFixture()
+	var grant leaser.Grant
+	w.store.onGet = func(read bool) {
+		if read {
+			return
+		}
+		w.store.onGet = nil
+		w.now = w.now.Add(late)
+		var err error
+		grant, err = w.a.Acquire(t.Context(), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, _, err := w.b.Read(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	w.now = w.now.Add(lease - late)
+	g.Expect(grant.Valid(w.now)).To(BeTrue())
+	_, err = w.b.Acquire(t.Context(), nil)
+	g.Expect(err).To(MatchError(leaser.ErrHeld))
+	w.now = w.now.Add(late)
+	_, err = w.b.Acquire(t.Context(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+}
