fix: a record is acknowledged by its write, not by its turn alone

Acknowledgements, floors and notices named the turn of the record. A VM that held another record of the same turn counted as knowing the announced one, so that nobody waited for its leases, and a relay's notice renewed the leases of such a VM.

Change: messages of the record identify its write (holder, process, attempt, turn) by 8 bytes. Another record of the same turn is not acknowledged, states no floors, is not taken for unchanged, and is replaced by the one with the later reading. Messages and records of earlier versions have no identity and are judged as before. The report of another VM counts for the age of the lease only if it was of the same write.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -75,11 +75,11 @@
 	return l.LastKnown(), sent, nil
 }
 
-// observation holds the number of a write of the lease and the time at which
+// observation holds the number and the identity of a write of the lease and the time at which
 // another VM first reported it.
 type observation struct {
-	turn  uint64
-	since time.Time
+	turn, write uint64
+	since       time.Time
 }
 
 // LearnRecord records a lease that another VM has read. The age of the lease counts
@@ -91,7 +91,7 @@
 		l.latest, l.latestAt = r, now
 	}
 	if l.heard.since.IsZero() || r.Writes > l.heard.turn {
-		l.heard = observation{turn: r.Writes, since: now}
+		l.heard = observation{turn: r.Writes, write: r.WriteID(), since: now}
 	}
 }
 
@@ -122,7 +122,7 @@
 		l.since = now
 	case !restored && (l.since.IsZero() || o.Version != l.version):
 		l.since = now
-		if l.heard.turn == r.Writes && !l.heard.since.IsZero() {
+		if l.heard.turn == r.Writes && l.heard.write == r.WriteID() && !l.heard.since.IsZero() {
 			l.since = l.heard.since
 		}
 	}
--- a/leaser/record.go
+++ b/leaser/record.go
@@ -1,6 +1,11 @@
 package leaser
 
-import "maps"
+import (
+	"encoding/binary"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Record is the lease as stored in the platform's store.
 type Record struct {
@@ -29,6 +34,23 @@
 		maps.Equal(r.Superseded, o.Superseded) && maps.Equal(r.Opened, o.Opened)
 }
 
+// WriteID identifies the write of the record among all writes of the lease; zero if it was written by an
+// earlier version of this program.
+func (r Record) WriteID() uint64 {
+	if r.Attempt == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], r.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:], r.Attempt)
+	binary.LittleEndian.PutUint64(b[16:], r.Writes)
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(r.Holder)
+	return d.Sum64()
+}
+
 // clone returns a deep copy whose maps are not nil.
 func (r Record) clone() Record {
 	r.Superseded, r.Opened = maps.Clone(r.Superseded), maps.Clone(r.Opened)
--- a/renewer/announce.go
+++ b/renewer/announce.go
@@ -16,7 +16,8 @@
 	v.applyUndated(v.Clock.Now(), r)
 	for {
 		now := v.Clock.Now()
-		if now.Sub(written) > v.Lease+clockMargin || v.acknowledgedTurn(now) >= r.Writes {
+		acknowledged := v.acknowledgedTurn(now) >= r.Writes && identify(v.Record()).covers(identify(r))
+		if now.Sub(written) > v.Lease+clockMargin || acknowledged {
 			return true
 		}
 		t := time.NewTimer(announceInterval)
@@ -44,7 +45,11 @@
 	var remaining []gossiper.Peer
 	for _, p := range v.Fleet.Members(now) {
 		id := processID{p.Name, p.Incarnation}
-		turn := v.acknowledged[id].turn
+		turn := v.acknowledged[id].record.turn
+		if !v.acknowledged[id].record.covers(identify(latest)) {
+			// The VM may know another record of this turn.
+			turn = min(turn, latest.Writes-1)
+		}
 		acknowledged = min(acknowledged, turn)
 		if min(turn, v.sealed[id]) < latest.Writes {
 			remaining = append(remaining, p)
--- a/renewer/changes_test.go
+++ b/renewer/changes_test.go
@@ -142,7 +142,7 @@
 			// The withdrawal of the term that was superseded at turn 2 is not seen by the sender.
 			to.apply(start, start, record(2, map[string]uint64{"g": 3}))
 			to.sendRecord(start, from.peer())
-			from.acknowledged[processID{"to", 1}] = acknowledgement{turn: 2, acceptsChanges: true}
+			from.acknowledged[processID{"to", 1}] = acknowledgement{record: recordID{turn: 2}, acceptsChanges: true}
 			from.apply(start, start, record(3, nil))
 			tt.repeat(from, to)
 			g.Expect(to.Record().Writes).To(Equal(uint64(2)))
--- a/renewer/notice.go
+++ b/renewer/notice.go
@@ -14,12 +14,14 @@
 	Turn uint64 `cbor:"1,keyasint"`
 	// Age is the age of the record when the notice was composed.
 	Age time.Duration `cbor:"2,keyasint"`
+	// Write identifies the write of the record; zero if it is not known.
+	Write uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ComposeNotice returns the notice of this VM, or nil if it knows no record with its age.
 func (v *Renewer) ComposeNotice(now time.Time) []byte {
 	v.mu.Lock()
-	n, ok := notice{Turn: v.record.Writes, Age: now.Sub(v.asOf)}, v.known && !v.asOf.IsZero()
+	n, ok := notice{Turn: v.record.Writes, Age: now.Sub(v.asOf), Write: v.record.WriteID()}, v.known && !v.asOf.IsZero()
 	v.mu.Unlock()
 	if !ok {
 		return nil
@@ -29,7 +31,7 @@
 
 // HandleNotice handles the notice of a relay. If this VM has the same record, the record is
 // valid as of the time at which the notice was composed, less the age that it states.
-// A later record is requested. A record of turn zero was never written.
+// A later record, or another one of the same turn, is requested. A record of turn zero was never written.
 func (v *Renewer) HandleNotice(now time.Time, from gossiper.Message, b []byte) {
 	var n notice
 	if cbor.Unmarshal(b, &n) != nil {
@@ -39,8 +41,9 @@
 	v.noticedAt = now
 	record := v.record
 	v.mu.Unlock()
+	known := recordID{turn: n.Turn, write: n.Write}
 	switch {
-	case n.Turn > record.Writes:
+	case n.Turn > record.Writes, n.Turn == record.Writes && !known.matches(identify(record)):
 		v.sendRequest(now, gossiper.Peer{Message: from})
 	case n.Turn == record.Writes && n.Age >= 0 && !from.Composed.IsZero():
 		v.apply(now, from.Composed.Add(-n.Age), record)
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -84,10 +84,10 @@
 	incarnation uint64
 }
 
-// acknowledgement is the latest turn that a process has acknowledged, and whether it accepts
-// changes after that turn.
+// acknowledgement is the latest record that a process has acknowledged, and whether it accepts
+// changes after that.
 type acknowledgement struct {
-	turn           uint64
+	record         recordID
 	acceptsChanges bool
 }
 
@@ -210,6 +210,10 @@
 	if v.known && r.Writes < v.record.Writes {
 		return
 	}
+	isOther := v.known && !identify(r).covers(identify(v.record))
+	if isOther && !asOf.After(v.asOf) {
+		return
+	}
 	if !v.known || r.Writes > v.record.Writes || asOf.After(v.asOf) {
 		v.asOf = asOf
 	}
@@ -220,7 +224,11 @@
 
 // setRecord sets the known record. The caller holds the lock.
 func (v *Renewer) setRecord(r leaser.Record) {
-	if !v.known || r.Writes > v.record.Writes {
+	if v.known && !identify(r).covers(identify(v.record)) {
+		// The changes that led to the other record of this turn are not known.
+		v.history = history{}
+	}
+	if !v.known || r.Writes > v.record.Writes || v.history.superseded == nil {
 		v.history.add(v.record, r)
 	}
 	v.record, v.known = r, true
--- a/renewer/request.go
+++ b/renewer/request.go
@@ -25,6 +25,8 @@
 	AcceptsChanges bool `cbor:"4,keyasint,omitempty"`
 	// Changes are the changes that lead to Record, which then has no terms.
 	Changes *recordChanges `cbor:"5,keyasint,omitempty"`
+	// KnownWrite identifies the write of the record of KnownTurn; zero if it is not known.
+	KnownWrite uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // recordResponse carries the record that a VM knows.
@@ -50,6 +52,8 @@
 	// group, the position that a log must reach to hold every commit that it saw acknowledged.
 	Sealed uint64                      `cbor:"10,keyasint,omitempty"`
 	Floors map[string]tracker.Position `cbor:"11,keyasint,omitempty"`
+	// Write identifies the write of Record; zero if it is not known.
+	Write uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // sendRequest requests the record that a VM knows.
@@ -64,7 +68,7 @@
 	record := v.record
 	var changes *recordChanges
 	if a := v.acknowledged[processID{p.Name, p.Incarnation}]; a.acceptsChanges {
-		changes = v.history.changesAfter(a.turn, record)
+		changes = v.history.changesAfter(a.record.turn, record)
 	}
 	v.mu.Unlock()
 	if changes != nil {
@@ -77,7 +81,7 @@
 func (v *Renewer) send(now time.Time, p gossiper.Peer, request recordRequest) {
 	v.mu.Lock()
 	v.nonce++
-	request.Nonce, request.KnownTurn, request.AcceptsChanges = v.nonce, v.record.Writes, true
+	request.Nonce, request.KnownTurn, request.KnownWrite, request.AcceptsChanges = v.nonce, v.record.Writes, v.record.WriteID(), true
 	if v.needsWhole {
 		request.KnownTurn = 0
 	}
@@ -115,6 +119,8 @@
 		}
 		if understood {
 			v.applyUndated(now, record)
+			// A VM that knows another record of the same turn has not followed.
+			understood = identify(v.Record()).covers(identify(record))
 		}
 	}
 	response := v.response(now, request)
@@ -131,9 +137,11 @@
 func (v *Renewer) response(now time.Time, request recordRequest) recordResponse {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	response := recordResponse{Nonce: request.Nonce, Name: v.Name, Incarnation: v.Incarnation, Known: v.known && !v.asOf.IsZero(), Age: now.Sub(v.asOf), Record: v.record}
+	response := recordResponse{Nonce: request.Nonce, Name: v.Name, Incarnation: v.Incarnation, Known: v.known && !v.asOf.IsZero(), Age: now.Sub(v.asOf), Record: v.record, Write: v.record.WriteID()}
+	known := recordID{turn: request.KnownTurn, write: request.KnownWrite}
 	switch turn := v.record.Writes; {
 	case turn == 0 || request.KnownTurn == 0:
+	case turn == request.KnownTurn && !known.matches(identify(v.record)):
 	case turn == request.KnownTurn:
 		response.Record, response.Unchanged = leaser.Record{Writes: turn}, true
 	case !request.AcceptsChanges:
@@ -163,14 +171,19 @@
 	delete(v.pending, response.Nonce)
 	from := processID{response.Name, response.Incarnation}
 	v.recordFloors(from, response)
-	v.acknowledged[from] = acknowledgement{turn: max(v.acknowledged[from].turn, response.Record.Writes), acceptsChanges: response.AcceptsChanges}
+	stated := recordID{turn: response.Record.Writes, write: response.Write}
+	a := acknowledgement{record: v.acknowledged[from].record, acceptsChanges: response.AcceptsChanges}
+	if stated.turn >= a.record.turn {
+		a.record = stated
+	}
+	v.acknowledged[from] = a
 	if a, ok := v.announced[response.Name]; ok {
 		a.unanswered = 0
 		v.announced[response.Name] = a
 	}
 	if response.Unchanged {
 		// A record that this VM has learned since then is applied with its own age.
-		ok = ok && v.record.Writes == response.Record.Writes
+		ok = ok && stated.matches(identify(v.record))
 		response.Record = v.record
 	}
 	if response.Changes != nil {
@@ -191,7 +204,7 @@
 	switch {
 	case response.Record.Writes < v.record.Writes:
 		return false
-	case response.Record.Writes == v.record.Writes:
+	case identify(response.Record).matches(identify(v.record)):
 		response.Record = v.record
 		return true
 	}
