fix: an attempt opens only the successor that it has promoted

Cause: after the announcement, an attempt to replace a primary opened whichever primary of the group was known by then. After a late promotion or a frozen VM that is the one of a later attempt, whose own announcement may not have ended: writes are acknowledged there while another VM reads from the primary between the two. It also recorded the term as opened, and gave its own reserved term back, by the number alone, which a later attempt shares.

Change: promote returns the term that the successor leads. Only that is opened, and the record is changed only while it says of the group what the attempt wrote. Otherwise opening-left is logged; writes open by the later attempt, or by the time after which no lease can be left.

Result: TestOnlyTheSuccessorOfTheAttemptIsOpened fails before (the successor of the later attempt accepts writes) and passes after; go test ./switcher and the replacement tests of ./platform pass.

--- a/switcher/replace.go
+++ b/switcher/replace.go
@@ -50,13 +50,14 @@
 	formerID = lastPrimary(formerID, formerTerm, newest)
 	// The promotion of an earlier attempt, which paused replicas or is in the record, may still take
 	// effect. No VM may write to its successor, which would not be the last.
-	superseded, unsettled, previous := max(newest, held), held > newest, uint64(0)
+	superseded, unsettled, previous, recorded := max(newest, held), held > newest, uint64(0), uint64(0)
 	grant, err := s.Lease.Acquire(ctx, func(r *leaser.Record) {
 		previous = r.Superseded[group]
 		if IsUnsettled(*r, group, newest) {
 			superseded, unsettled = max(superseded, r.Superseded[group]+1), true
 		}
-		r.Superseded[group] = max(r.Superseded[group], superseded)
+		recorded = max(r.Superseded[group], superseded)
+		r.Superseded[group] = recorded
 	})
 	term := superseded + 1
 	s.reportStore(err)
@@ -74,6 +75,7 @@
 	})
 	stop := stopper{s: s, group: group, former: formerID, superseded: superseded, term: term, turn: record.Writes, recordedAt: written,
 		urgent: v == Lost && s.Controller.ReplicatesSynchronously(group), serving: v == Leaving, unsettled: unsettled}
+	var led uint64
 	for err = errWaitedTooLong; errors.Is(err, errWaitedTooLong); {
 		// A replica that restarted during a long wait is no longer paused, and may have received
 		// commits since: after a wait, the group is stopped again and its successor chosen anew.
@@ -89,7 +91,7 @@
 			return nil, waited, errNoSafeSuccessor
 		}
 		var wait time.Duration
-		wait, err = s.promote(ctx, grant, successor, term, stop.stopNewcomers)
+		led, wait, err = s.promote(ctx, grant, successor, term, stop.stopNewcomers)
 		waited += wait
 	}
 	if err != nil {
@@ -97,7 +99,7 @@
 	}
 	return func() {
 		<-announced
-		s.openWrites(ctx, group)
+		s.openWrites(ctx, group, led, recorded)
 	}, waited, nil
 }
 
@@ -162,10 +164,12 @@
 	}
 }
 
-// openWrites allows the new primary of a group to accept writes.
-func (s *Switcher) openWrites(ctx context.Context, group string) {
-	primary, term, ok := s.Observer.Primary(group)
-	if !ok {
+// openWrites allows the primary of a term, to which an attempt that recorded another as superseded has led, to accept
+// writes. The primary of a later attempt is left to that one, whose announcement may not have ended.
+func (s *Switcher) openWrites(ctx context.Context, group string, term, recorded uint64) {
+	primary, latest, ok := s.Observer.Primary(group)
+	if !ok || latest != term {
+		s.Journal.LogStateChange("opening-left", journaler.Group(group), journaler.Primary(primary), journaler.Term(latest), journaler.F("led", term))
 		return
 	}
 	s.Observer.OpenWrites(group, term)
@@ -173,8 +177,12 @@
 	s.Journal.LogStateChange("primary-opened", journaler.Group(group), journaler.Primary(primary), journaler.Term(term))
 	reopened := false
 	_, err := s.Lease.Acquire(ctx, func(r *leaser.Record) {
-		r.Opened[group] = term
-		if reopened = r.Superseded[group] >= term; reopened {
+		if r.Superseded[group] != recorded {
+			// A later attempt has begun.
+			return
+		}
+		r.Opened[group] = max(r.Opened[group], term)
+		if reopened = recorded >= term; reopened {
 			// The promotion of an earlier attempt, for which the term was reserved, took no effect.
 			r.Superseded[group] = term - 1
 		}
@@ -201,10 +209,10 @@
 	}
 }
 
-// promote promotes the successor and waits until it leads. It returns how long it waited for
-// the platform's rate of requests, and errWaitedTooLong if the grant expired before any request
+// promote promotes the successor and waits until it leads. It returns the term that it leads, how long it
+// waited for the platform's rate of requests, and errWaitedTooLong if the grant expired before any request
 // took effect. Once the platform has accepted the promotion, it calls waiting again and again.
-func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64, waiting func(context.Context, observer.Instance)) (waited time.Duration, err error) {
+func (s *Switcher) promote(ctx context.Context, grant leaser.Grant, successor observer.Instance, term uint64, waiting func(context.Context, observer.Instance)) (led uint64, waited time.Duration, err error) {
 	var deadline time.Time
 	accepted, sentAny := false, false
 	for ctx.Err() == nil {
@@ -218,14 +226,14 @@
 			}
 			if s.abstains(s.Clock.Now()) {
 				// An extension would keep the lease from the VMs that reach the platform.
-				return waited, ErrPlatformUnreachable
+				return 0, waited, ErrPlatformUnreachable
 			}
 			switch {
 			case grant.Valid(s.Clock.Now()):
 			case sentAny:
-				return waited, errGrantExpired
+				return 0, waited, errGrantExpired
 			default:
-				return waited, errWaitedTooLong
+				return 0, waited, errWaitedTooLong
 			}
 			err := s.sendPromotion(ctx, grant, successor, term)
 			if errors.Is(err, ErrRateLimited) {
@@ -239,7 +247,7 @@
 			if s.Observer.ObserveStatus(s.Clock.Now(), sent, successor, st) {
 				s.announce(successor, st)
 			}
-			return waited, nil
+			return st.Term, waited, nil
 		}
 		if !s.Clock.Now().Before(deadline) {
 			break
@@ -247,7 +255,7 @@
 		waiting(ctx, successor)
 		timekeeper.Sleep(ctx, promotionPollInterval)
 	}
-	return waited, errNotLeading
+	return 0, waited, errNotLeading
 }
 
 // sendPromotion sends the platform one promotion request.
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -53,6 +53,8 @@
 	requests       int
 	// decisions counts the logged decisions.
 	decisions map[string]int
+	// whileAnnouncing, if set, is called before the first announcement ends.
+	whileAnnouncing func()
 	// record is the record of the lease, and superseded the term of the group in it after each write.
 	record     leaser.Record
 	superseded []uint64
@@ -125,7 +127,14 @@
 
 func (g *group) LastKnown() leaser.Record { return leaser.Record{} }
 
-func (g *group) Announce(context.Context, time.Time, leaser.Record) bool { return true }
+func (g *group) Announce(context.Context, time.Time, leaser.Record) bool {
+	if do := g.whileAnnouncing; do != nil {
+		g.whileAnnouncing = nil
+		time.Sleep(time.Second)
+		do()
+	}
+	return true
+}
 
 func (g *group) Record() leaser.Record {
 	if g.writes == nil {
@@ -299,3 +308,39 @@
 		w.Expect(g.superseded).To(HaveEach(BeElementOf(uint64(2), uint64(3))))
 	})
 }
+
+// Guards against an attempt that opens the successor of a later one, whose announcement has not ended: some VM may still
+// read from the primary between them. It must not undo what the later one recorded either.
+func TestOnlyTheSuccessorOfTheAttemptIsOpened(t *testing.T) {
+	tests := []struct {
+		name string
+		// later is the term that a later attempt led to, zero if there was none.
+		later      uint64
+		superseded uint64
+		opened     uint64
+	}{
+		{"no later attempt", 0, 1, 2},
+		{"a later attempt", 3, 2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWithT(t)
+				g := &group{record: leaser.Record{Superseded: map[string]uint64{}, Opened: map[string]uint64{}}}
+				g.whileAnnouncing = func() {
+					if tt.later == 0 {
+						return
+					}
+					g.mu.Lock()
+					g.record.Superseded["g"] = tt.later - 1
+					g.mu.Unlock()
+					g.observer.LearnPrimary(time.Now(), "g", "b", tt.later)
+				}
+				fail(t, g, 2*time.Second)
+				w.Expect(g.observer.WritesOpen(time.Now(), "g")).To(Equal(tt.later == 0))
+				w.Expect(g.record.Superseded).To(HaveKeyWithValue("g", tt.superseded))
+				w.Expect(g.record.Opened["g"]).To(Equal(tt.opened))
+			})
+		})
+	}
+}
