fix: late registrations of processes that have ended take no effect

Cause: a process whose VM is registered at another address replaced the entry without a condition. A store may carry that out seconds later, when the process has ended and the VM is back elsewhere: the register then names an address where nobody is, until the next start of the VM.

Change: package enroller.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -43,6 +43,7 @@
 	newDispatcher,
 	newUnitServer,
 	newSessionServer,
+	newEnroller,
 	newLeaser,
 	newGossiper,
 	newRenewer,
--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
 	"github.com/marigoldgauge/marigoldgauge/delegator"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
+	"github.com/marigoldgauge/marigoldgauge/enroller"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/leaser"
@@ -50,6 +51,7 @@
 	UnitServer *delegator.Server
 	Sessions   *sessioner.Server
 	Gossiper   *gossiper.Gossiper
+	Enroller   *enroller.Enroller
 	Leaser     *leaser.Leaser
 	Voucher    *renewer.Renewer
 	Switcher   *switcher.Switcher
