fix: another record of the same version ends leases, too

Cause: the Observer ends leases on superseded primaries when the version of the record changes. Another record of the same version, as a store that was restored from a copy may hold, renewed them.

Change: the identity of the write is compared besides.

Result: TestSupersededPrimaryHasNoLease fails before in the new case (the lease is not ended) and passes after; go test ./observer ./renewer pass.

--- a/observer/lease.go
+++ b/observer/lease.go
@@ -14,8 +14,8 @@
 
 // LeaseRecord is what the fleet's record states of the primaries.
 type LeaseRecord struct {
-	// Version increases with each change of the record.
-	Version uint64
+	// Version increases with each change of the record, and Write identifies the change.
+	Version, Write uint64
 	// Superseded holds, by group, the latest term whose primary is replaced, and Opened the
 	// term whose primary may accept writes. They must not be changed.
 	Superseded, Opened map[string]uint64
@@ -39,7 +39,7 @@
 func (o *Observer) RenewPrimaryLeases(now, asOf, until time.Time, r LeaseRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.lease.number == 0 || r.Version != o.lease.Version {
+	if o.lease.number == 0 || r.Version != o.lease.Version || r.Write != o.lease.Write {
 		o.revokeSuperseded(now, r.Superseded)
 	}
 	if asOf.Before(o.lease.asOf) {
--- a/observer/lease_test.go
+++ b/observer/lease_test.go
@@ -88,15 +88,18 @@
 }
 
 // A record that names the primary as superseded ends its lease at once, also if the group
-// was not used since the lease began.
+// was not used since the lease began, or if another record had the same version.
 func TestSupersededPrimaryHasNoLease(t *testing.T) {
-	g := NewWithT(t)
-	c := newLeaseCluster(2)
-	c.RenewPrimaryLeases(start, start, start.Add(2*time.Second), observer.LeaseRecord{Version: 1})
-	now := start.Add(time.Second)
-	c.RenewPrimaryLeases(now, now, now.Add(2*time.Second), observer.LeaseRecord{Version: 2, Superseded: map[string]uint64{"g-0": 1}})
-	g.Expect(c.Confirmed("g-0")).To(Equal(now))
-	g.Expect(c.Confirmed("g-1")).To(Equal(now.Add(2 * time.Second)))
+	for _, later := range []observer.LeaseRecord{{Version: 2}, {Version: 1, Write: 7}} {
+		g := NewWithT(t)
+		c := newLeaseCluster(2)
+		c.RenewPrimaryLeases(start, start, start.Add(2*time.Second), observer.LeaseRecord{Version: 1})
+		now := start.Add(time.Second)
+		later.Superseded = map[string]uint64{"g-0": 1}
+		c.RenewPrimaryLeases(now, now, now.Add(2*time.Second), later)
+		g.Expect(c.Confirmed("g-0")).To(Equal(now))
+		g.Expect(c.Confirmed("g-1")).To(Equal(now.Add(2 * time.Second)))
+	}
 }
 
 // A unit of work that waits for the confirmation of a primary is woken by the renewal.
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -219,7 +219,7 @@
 	}
 	v.setRecord(r)
 	v.Dependencies.Record.LearnRecord(now, r)
-	v.Observer.RenewPrimaryLeases(now, asOf, asOf.Add(v.Lease-clockMargin), observer.LeaseRecord{Version: r.Writes, Superseded: r.Superseded, Opened: r.Opened})
+	v.Observer.RenewPrimaryLeases(now, asOf, asOf.Add(v.Lease-clockMargin), observer.LeaseRecord{Version: r.Writes, Write: r.WriteID(), Superseded: r.Superseded, Opened: r.Opened})
 }
 
 // setRecord sets the known record. The caller holds the lock.
