fix: a VM beyond a cut is waited for until its record is too old

Cause: two halves of a promise did not meet. A VM takes a commit for certain while its record is at most 1.5 s old, and beyond the cut it reads the record in the store by itself. The VM that replaces the primary judged the logs 1.5 s after it had last heard from such a VM, as if the record came from VMs alone, and not at all once that one had dropped out of the live ones.

Change: the logs are judged once all registered VMs have stated their floors, or 1.5 s after the record that names the replacement was written. What any VM reads after that names it, wherever the VM reads it. Planned replacements whose former primary steps down wait for nothing more than before.

--- a/renewer/floor.go
+++ b/renewer/floor.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/tracker"
 )
 
@@ -65,10 +66,19 @@
 
 // Sealed reports whether all live VMs have stated their floors for a turn of the record or a later one.
 func (v *Renewer) Sealed(now time.Time, turn uint64) bool {
-	alive := v.Fleet.Alive(now)
+	return v.haveSealed(v.Fleet.Alive(now), turn)
+}
+
+// SealedByAll reports whether all VMs of the fleet, including silent ones, have done so.
+func (v *Renewer) SealedByAll(now time.Time, turn uint64) bool {
+	return v.haveSealed(v.Fleet.Members(now), turn)
+}
+
+// haveSealed reports whether VMs have stated their floors for a turn of the record or a later one.
+func (v *Renewer) haveSealed(vms []gossiper.Peer, turn uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, p := range alive {
+	for _, p := range vms {
 		if v.sealed[processID{p.Name, p.Incarnation}] < turn {
 			return false
 		}
--- a/switcher/dependencies.go
+++ b/switcher/dependencies.go
@@ -58,6 +58,8 @@
 	// Sealed reports whether all live VMs have said at which position they saw the last commit
 	// of the terms that a turn of the record supersedes acknowledged, and pass on no more.
 	Sealed(now time.Time, turn uint64) bool
+	// SealedByAll reports whether all VMs have, including those that are not heard.
+	SealedByAll(now time.Time, turn uint64) bool
 	// Floor returns the position that a log must reach to hold every commit that any of them saw
 	// acknowledged up to a superseded term; zero if not known.
 	Floor(group string, term uint64) tracker.Position
--- a/switcher/handover.go
+++ b/switcher/handover.go
@@ -22,7 +22,7 @@
 // Otherwise commits would be on their way while the instances are stopped one after the other, and
 // the only replica that has received the last ones may not respond.
 func (p *stopper) handOver(ctx context.Context) {
-	p.awaitFloors(ctx, p.s.Clock.Now().Add(sealTimeout), nil)
+	p.awaitFloors(ctx, p.s.Clock.Now().Add(sealTimeout), p.isSealed, nil)
 	instances := slices.DeleteFunc(p.s.Observer.Instances(p.group), func(i observer.Instance) bool { return i.Leaving && i.ID != p.former })
 	for deadline := p.s.Clock.Now().Add(catchUpTimeout); p.s.Clock.Now().Before(deadline); {
 		if p.pollCaughtUp(ctx, instances) || !timekeeper.Sleep(ctx, catchUpPollInterval) {
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -145,6 +145,8 @@
 
 func (g *group) Sealed(time.Time, uint64) bool { return true }
 
+func (g *group) SealedByAll(time.Time, uint64) bool { return true }
+
 func (g *group) Floor(string, uint64) tracker.Position { return tracker.Position{} }
 
 func (g *group) LogStateChange(decision string, _ ...journaler.Field) {
--- a/switcher/stopper.go
+++ b/switcher/stopper.go
@@ -110,10 +110,10 @@
 	}
 	p.updateFloor()
 	successor, ground, ok := ChooseSuccessor(p.evidence)
-	if ground != FormerSteppedDown && !p.evidence.Sealed {
+	if ground != FormerSteppedDown && !p.isSettled() {
 		// A VM that has not stated its floor yet may have seen a commit acknowledged that none of the
 		// instances holds, or may still take one for certain until its record is too old for that.
-		p.awaitFloors(ctx, p.floorsDeadline(s.Clock.Now()), stepped)
+		p.awaitFloors(ctx, p.floorsDeadline(s.Clock.Now()), p.isSettled, stepped)
 		// An instance that has started meanwhile may have received commits.
 		p.pauseArrived(ctx, instances)
 		successor, ground, ok = ChooseSuccessor(p.evidence)
@@ -168,22 +168,25 @@
 	}
 }
 
-// floorsDeadline returns until when the floors of the other VMs are waited for. A VM that was not heard
-// since the record was written may not know of it.
+// floorsDeadline returns until when the floors of the other VMs are waited for.
 func (p *stopper) floorsDeadline(now time.Time) time.Time {
-	deadline := now.Add(sealTimeout)
-	for _, peer := range p.s.Fleet.Alive(now) {
-		if peer.Heard.Before(p.recordedAt) {
-			deadline = timekeeper.Later(deadline, peer.Heard.Add(observer.MaxRecordAge))
-		}
-	}
-	return deadline
+	return timekeeper.Later(now.Add(sealTimeout), p.recordedAt.Add(observer.MaxRecordAge))
 }
 
-// awaitFloors waits until a deadline, or until all live VMs have stated their floors or the former primary
-// has stepped down.
-func (p *stopper) awaitFloors(ctx context.Context, deadline time.Time, stepped <-chan *InstanceReport) {
-	for p.updateFloor(); !p.evidence.Sealed && !p.evidence.formerHoldsAll() && p.s.Clock.Now().Before(deadline); p.updateFloor() {
+// isSettled reports whether no VM can take a commit of the former primary for certain any more. All VMs have stated
+// their floors, or their records are too old for that: a VM that is not heard may still read the record in the
+// store, but what it reads from now on names the replacement.
+func (p *stopper) isSettled() bool {
+	now := p.s.Clock.Now()
+	return p.s.Announcer.SealedByAll(now, p.turn) || now.Sub(p.recordedAt) > observer.MaxRecordAge
+}
+
+// isSealed reports whether all live VMs have stated their floors.
+func (p *stopper) isSealed() bool { return p.evidence.Sealed }
+
+// awaitFloors waits until a deadline, or until enough floors are stated or the former primary has stepped down.
+func (p *stopper) awaitFloors(ctx context.Context, deadline time.Time, enough func() bool, stepped <-chan *InstanceReport) {
+	for p.updateFloor(); !enough() && !p.evidence.formerHoldsAll() && p.s.Clock.Now().Before(deadline); p.updateFloor() {
 		select {
 		case former, ok := <-stepped:
 			stepped = nil
