fix: the list is read anew where a VM beyond a cut has stated no floor

A new replica, whose start a silent watch did not tell of, lets a primary beyond a cut acknowledge commits; the VMs beside it tell their clients; the VM that replaces the primary doesn't know the replica.

Cause: the successor is the longest log of the instances that are known. What a VM that was not heard has called certain may rest on an instance that was listed in the store and not known here.

Change: if some VM has stated no floor, the list is read from the store once no VM can call a commit certain any more, and the instances that were not known are stopped before the logs are judged. If it cannot be read, nothing is promoted yet. Package coalescer shares a reading between replacements that need one that begins after their call.

--- a/assembler/constructors.go
+++ b/assembler/constructors.go
@@ -11,6 +11,7 @@
 	"github.com/marigoldgauge/marigoldgauge/authorizer"
 	"github.com/marigoldgauge/marigoldgauge/borrower"
 	"github.com/marigoldgauge/marigoldgauge/cataloguer"
+	"github.com/marigoldgauge/marigoldgauge/coalescer"
 	"github.com/marigoldgauge/marigoldgauge/delegator"
 	"github.com/marigoldgauge/marigoldgauge/dispatcher"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
@@ -62,7 +63,10 @@
 		}
 	}
 	var proxy *Proxy
-	err := c.Invoke(func(p Proxy) { proxy = &p })
+	err := c.Invoke(func(p Proxy) {
+		proxy = &p
+		p.Switcher.SetLister(lister{coalescer.New(proxy.readListing)})
+	})
 	return proxy, eris.Wrap(err, "building the process")
 }
 
--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	fastjson "github.com/segmentio/encoding/json"
 
+	"github.com/marigoldgauge/marigoldgauge/coalescer"
 	"github.com/marigoldgauge/marigoldgauge/gossiper"
 	"github.com/marigoldgauge/marigoldgauge/journaler"
 	"github.com/marigoldgauge/marigoldgauge/observer"
@@ -46,6 +47,29 @@
 	return w.Run(ctx)
 }
 
+// lister reads the list of instances on behalf of concurrent replacements, which share the reading. It
+// implements switcher.Lister.
+type lister struct{ reads *coalescer.Coalescer }
+
+// RefreshInstances reads the list of instances from the store and applies it.
+func (l lister) RefreshInstances(ctx context.Context) error { return l.reads.Do(ctx) }
+
+// readListing reads the list of instances from the store and applies it.
+func (p *Proxy) readListing(ctx context.Context) error {
+	startedAt := p.Parts.Clock.Now()
+	page, err := p.Parts.Adapter.Store().List(ctx, p.Parts.Adapter.InstancesPrefix())
+	if err != nil {
+		return err
+	}
+	p.State.applyMu.Lock()
+	defer p.State.applyMu.Unlock()
+	if news, ok := p.State.listing.Update(versioner.Update{Whole: true, Revision: page.Revision, Objects: page.Objects}); ok {
+		p.applyInstances(news, page.Revision)
+	}
+	p.Verifiers.instances.Verify(startedAt)
+	return nil
+}
+
 // fetchListing fetches the changes of the list of instances from another VM and applies
 // them.
 func (p *Proxy) fetchListing(ctx context.Context, from gossiper.Peer, progress func(now time.Time)) error {
--- a/switcher/dependencies.go
+++ b/switcher/dependencies.go
@@ -48,6 +48,12 @@
 	LastKnown() leaser.Record
 }
 
+// Lister keeps the list of instances up to date.
+type Lister interface {
+	// RefreshInstances reads the list from the store and passes it on to the Observer.
+	RefreshInstances(ctx context.Context) error
+}
+
 // Announcer ensures that no VM regards a superseded primary as current.
 type Announcer interface {
 	// Announce sends all VMs a record that was written before the given time, and
@@ -83,6 +89,8 @@
 	Fleet Fleet
 	// Lease is the lease under which one VM replaces primaries.
 	Lease Lease
+	// Lister keeps the list of instances up to date; see SetLister.
+	Lister Lister
 	// Announcer informs the other VMs of superseded terms.
 	Announcer Announcer
 	// Promoter promotes instances.
--- a/switcher/replace_test.go
+++ b/switcher/replace_test.go
@@ -145,6 +145,8 @@
 
 func (g *group) Sealed(time.Time, uint64) bool { return true }
 
+func (g *group) RefreshInstances(context.Context) error { return nil }
+
 func (g *group) SealedByAll(time.Time, uint64) bool { return true }
 
 func (g *group) Floor(string, uint64) tracker.Position { return tracker.Position{} }
@@ -186,7 +188,7 @@
 	g.observer.UpdateInstances(time.Now().Add(-time.Minute), []observer.Instance{p, {ID: "a", Group: "g"}, {ID: "b", Group: "g"}}, nil)
 	g.observer.ObserveStatus(time.Now(), time.Now(), p, modeller.InstanceStatus{IsPrimary: true, Term: 1})
 	return switcher.New(switcher.Dependencies{
-		Name: "vm", Observer: g.observer, Controller: g, Fleet: g, Lease: g, Announcer: g, Promoter: g, PromotionRate: 50,
+		Name: "vm", Observer: g.observer, Controller: g, Fleet: g, Lease: g, Lister: g, Announcer: g, Promoter: g, PromotionRate: 50,
 		OnStandby: func(bool) {}, OnStoreCall: g.recordStoreCall, Eligible: func(time.Time) bool { return true }, Clock: timekeeper.ClockFunc(time.Now), Journal: g,
 	})
 }
--- a/switcher/stopper.go
+++ b/switcher/stopper.go
@@ -20,6 +20,8 @@
 	// silenceGrace is how long instances that do not respond are asked again where that may lead to
 	// another successor. A busy instance responds again by then.
 	silenceGrace = 500 * time.Millisecond
+	// relistTimeout bounds the reading of the list of instances.
+	relistTimeout = 1500 * time.Millisecond
 	// sealPollInterval is the interval at which the floors are looked at.
 	sealPollInterval = 10 * time.Millisecond
 	// newcomerInterval is the interval at which instances that came back are stopped, until the
@@ -47,6 +49,8 @@
 
 	// recordedAt is when the record had been written.
 	recordedAt time.Time
+	// relisted reports that the list of instances was read after the records of silent VMs had become too old.
+	relisted bool
 	// begunAt is when the group was first asked to stop.
 	begunAt   time.Time
 	evidence  Evidence
@@ -114,6 +118,9 @@
 		// A VM that has not stated its floor yet may have seen a commit acknowledged that none of the
 		// instances holds, or may still take one for certain until its record is too old for that.
 		p.awaitFloors(ctx, p.floorsDeadline(s.Clock.Now()), p.isSettled, stepped)
+		if !p.evidence.formerHoldsAll() && !p.relist(ctx) {
+			return observer.Instance{}, "", false
+		}
 		// An instance that has started meanwhile may have received commits.
 		p.pauseArrived(ctx, instances)
 		successor, ground, ok = ChooseSuccessor(p.evidence)
@@ -129,6 +136,24 @@
 	return successor, ground, ok
 }
 
+// relist reads the list of instances, unless all VMs have stated their floors: an instance that is listed but not
+// known here may hold commits that silent VMs have taken for certain. It reports whether the list is known as of a
+// time at which they could not do so any more.
+func (p *stopper) relist(ctx context.Context) bool {
+	if p.relisted || p.s.Announcer.SealedByAll(p.s.Clock.Now(), p.turn) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, relistTimeout)
+	defer cancel()
+	err := p.s.Lister.RefreshInstances(ctx)
+	p.s.reportStore(err)
+	if err != nil {
+		p.s.Journal.LogStateChange("instances-not-listed", journaler.Group(p.group), journaler.Err(err))
+	}
+	p.relisted = err == nil
+	return p.relisted
+}
+
 // stepDown steps down the former primary and returns its report, or nil if there is none.
 func (p *stopper) stepDown(ctx context.Context, instances []observer.Instance, departed []observer.Departed) *InstanceReport {
 	former, ok := findInstance(instances, p.former)
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -89,6 +89,9 @@
 	return &Switcher{Dependencies: p, leaderlessSince: map[string]time.Time{}, pausedSince: map[string]pause{}, retryAt: map[string]time.Time{}, failures: map[string]int{}, replacing: map[string]bool{}, supersededSince: map[string]time.Time{}}
 }
 
+// SetLister sets the Lister, before Run is called.
+func (s *Switcher) SetLister(l Lister) { s.Lister = l }
+
 // Promotions returns the number of promotion requests of this VM that the platform
 // accepted, and the number of those that failed or were rejected.
 func (s *Switcher) Promotions() (accepted, failed uint64) {
