fix: the list is read anew, however late the instances respond

Cause: the list was read only if the wait for VMs that are not heard was still ahead when the instances had responded. Slow responses took longer than that.

Change: the list counts as read only once it was. A reading may take 3 s, as a long list has many pages, and a failed one is not taken for a lost store. TestActionsFollowTheRecord writes to the first group only and checks records and promotions; its reads on primary routes had found nothing that these had not.

Result: TestListIsReadBeforeTheChoice fails before (no reading) and passes after.

--- a/switcher/stopper.go
+++ b/switcher/stopper.go
@@ -21,7 +21,7 @@
 	// another successor. A busy instance responds again by then.
 	silenceGrace = 500 * time.Millisecond
 	// relistTimeout bounds the reading of the list of instances.
-	relistTimeout = 1500 * time.Millisecond
+	relistTimeout = 3 * time.Second
 	// sealPollInterval is the interval at which the floors are looked at.
 	sealPollInterval = 10 * time.Millisecond
 	// newcomerInterval is the interval at which instances that came back are stopped, until the
@@ -114,7 +114,7 @@
 	}
 	p.updateFloor()
 	successor, ground, ok := ChooseSuccessor(p.evidence)
-	if ground != FormerSteppedDown && !p.isSettled() {
+	if ground != FormerSteppedDown && !p.isCovered() {
 		// A VM that has not stated its floor yet may have seen a commit acknowledged that none of the
 		// instances holds, or may still take one for certain until its record is too old for that.
 		p.awaitFloors(ctx, p.floorsDeadline(s.Clock.Now()), p.isSettled, stepped)
@@ -136,17 +136,22 @@
 	return successor, ground, ok
 }
 
-// relist reads the list of instances, unless all VMs have stated their floors: an instance that is listed but not
-// known here may hold commits that silent VMs have taken for certain. It reports whether the list is known as of a
-// time at which they could not do so any more.
+// isCovered reports whether what any VM may have called certain is known: all VMs have stated their floors, or the
+// list of instances was read after the others' records had become too old.
+func (p *stopper) isCovered() bool {
+	return p.relisted || p.s.Announcer.SealedByAll(p.s.Clock.Now(), p.turn)
+}
+
+// relist reads the list of instances, where floors are missing: an instance that is listed but not known here may hold
+// commits that silent VMs have called certain. It reports whether the list is known as of a time at which they could
+// not do so any more.
 func (p *stopper) relist(ctx context.Context) bool {
-	if p.relisted || p.s.Announcer.SealedByAll(p.s.Clock.Now(), p.turn) {
+	if p.isCovered() {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, relistTimeout)
 	defer cancel()
 	err := p.s.Lister.RefreshInstances(ctx)
-	p.s.reportStore(err)
 	if err != nil {
 		p.s.Journal.LogStateChange("instances-not-listed", journaler.Group(p.group), journaler.Err(err))
 	}
