--- a/observer/held.go
+++ b/observer/held.go
@@ -8,7 +8,7 @@
 
 // MaxRecordAge is the age of the fleet's record up to which a VM takes a commit that a primary
 // acknowledges for certain to be kept. It is longer than a record usually takes to a VM in touch. For
-// as long after a VM was last heard, it may do so though the record names its primary as replaced.
+// as long after the record was written that names the primary as replaced, a VM may do so without knowing that.
 const MaxRecordAge = 1500 * time.Millisecond
 
 // IsRecordRecent reports whether this VM knows the fleet's record as of a time so close that no
