refactor: one way to apply the list; an identity is computed once a scan

The reading of the list before a choice repeated what the watch does with a list; both call updateListing. A scan of the VMs computed the identity of the announced record once for each VM, now once. HandleNotice says by covers what it had spelled out. Behaviour is as before.

--- a/assembler/listing.go
+++ b/assembler/listing.go
@@ -37,16 +37,19 @@
 // followInstances keeps the list of instances up to date.
 func (p *Proxy) followInstances(ctx context.Context) error {
 	known := func() bool { return p.State.listingChange.Load() > 0 }
-	w := p.newWatcher(p.Parts.Adapter.InstancesPrefix(), p.Verifiers.instances, known, func(u versioner.Update) {
-		p.State.applyMu.Lock()
-		defer p.State.applyMu.Unlock()
-		if news, ok := p.State.listing.Update(u); ok {
-			p.applyInstances(news, u.Revision)
-		}
-	})
+	w := p.newWatcher(p.Parts.Adapter.InstancesPrefix(), p.Verifiers.instances, known, p.updateListing)
 	return w.Run(ctx)
 }
 
+// updateListing applies an update of the list of instances as read from the store.
+func (p *Proxy) updateListing(u versioner.Update) {
+	p.State.applyMu.Lock()
+	defer p.State.applyMu.Unlock()
+	if news, ok := p.State.listing.Update(u); ok {
+		p.applyInstances(news, u.Revision)
+	}
+}
+
 // lister reads the list of instances on behalf of concurrent replacements, which share the reading. It
 // implements switcher.Lister.
 type lister struct{ reads *coalescer.Coalescer }
@@ -61,11 +64,7 @@
 	if err != nil {
 		return err
 	}
-	p.State.applyMu.Lock()
-	defer p.State.applyMu.Unlock()
-	if news, ok := p.State.listing.Update(versioner.Update{Whole: true, Revision: page.Revision, Objects: page.Objects}); ok {
-		p.applyInstances(news, page.Revision)
-	}
+	p.updateListing(versioner.Update{Whole: true, Revision: page.Revision, Objects: page.Objects})
 	p.Verifiers.instances.Verify(startedAt)
 	return nil
 }
--- a/renewer/announce.go
+++ b/renewer/announce.go
@@ -41,12 +41,13 @@
 		v.mu.Unlock()
 		return s.acknowledged
 	}
-	acknowledged := uint64(math.MaxUint64)
+	announced, acknowledged := identify(latest), uint64(math.MaxUint64)
 	var remaining []gossiper.Peer
 	for _, p := range v.Fleet.Members(now) {
 		id := processID{p.Name, p.Incarnation}
-		turn := v.acknowledged[id].record.turn
-		if !v.acknowledged[id].record.covers(identify(latest)) {
+		known := v.acknowledged[id].record
+		turn := known.turn
+		if !known.covers(announced) {
 			// The VM may know another record of this turn.
 			turn = min(turn, latest.Writes-1)
 		}
--- a/renewer/notice.go
+++ b/renewer/notice.go
@@ -43,7 +43,7 @@
 	v.mu.Unlock()
 	known := recordID{turn: n.Turn, write: n.Write}
 	switch {
-	case n.Turn > record.Writes, n.Turn == record.Writes && !known.matches(identify(record)):
+	case !identify(record).covers(known):
 		v.sendRequest(now, gossiper.Peer{Message: from})
 	case n.Turn == record.Writes && n.Age >= 0 && !from.Composed.IsZero():
 		v.apply(now, from.Composed.Add(-n.Age), record)
